Rescue runs from hung upstreams by comparison with their job's other tasks

Change: a run is stopped on an upstream that stands still only once it has taken twice as long as the job's other tasks have, or still take, elsewhere.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -343,3 +343,49 @@
 		}
 	}
 }
+
+// Guards against a long job whose run is stopped on an upstream that is taken for
+// hung by chance: its other tasks show elsewhere how long they take.
+func TestRescueComparesTasksOfTheJob(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// others is what becomes of the job's other task after 150 ms.
+		others wire.RunState
+		rescue bool
+	}{
+		{"the other task still runs", wire.RunStarted, false},
+		{"the other task took as long", wire.RunDone, false},
+		{"the other task was far shorter", wire.RunDone, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(t, "a1", "a2")
+			g.submit("j", 1, 2)
+			orders := messages[wire.Assign](g.take())
+			if len(orders) != 2 || orders[0].agent == orders[1].agent {
+				t.Fatalf("orders %v, want two on two hosts", orders)
+			}
+			for _, o := range orders {
+				g.report(o, wire.RunStarted, "")
+			}
+			for _, ms := range []int{100, 200, 300, 400} {
+				g.now = 10*time.Second + time.Duration(ms)*time.Millisecond
+				stuck := load(0)
+				stuck.Stuck = ms == 400
+				g.beat(orders[0].agent.Host, stuck)
+				g.beat(orders[1].agent.Host, load(6000))
+				if ms == 300 && c.others == wire.RunDone {
+					ran := uint32(300)
+					if c.rescue {
+						ran = 100
+					}
+					g.b.Report(g.now, orders[1].agent, wire.RunReport{Attempt: orders[1].message.Attempt, State: wire.RunDone, RanMS: ran, Load: load(10_000)})
+				}
+			}
+			g.take()
+			g.b.Tick(g.now)
+			if got := len(messages[wire.Withdraw](g.take())) > 0; got != c.rescue {
+				t.Errorf("taken back: %v, want %v", got, c.rescue)
+			}
+		})
+	}
+}
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -45,7 +45,9 @@
 	// expected is the run time expected on a sound upstream.
 	expected time.Duration
 
-	done     bool
+	done bool
+	// ran is the run time of a task that is done.
+	ran      time.Duration
 	failures int
 	// agent is where the present attempt is; nil if there is none.
 	agent      *agent
@@ -274,8 +276,9 @@
 func (b *Broker) succeeded(now time.Duration, t *task, a *agent, m wire.RunReport) {
 	j := t.job
 	t.done = true
+	t.ran = time.Duration(m.RanMS) * time.Millisecond
 	j.open--
-	j.kind.learn(time.Duration(m.RanMS)*time.Millisecond, t.spec.Estimate, a.load.Slowness)
+	j.kind.learn(t.ran, t.spec.Estimate, a.load.Slowness)
 	if j.open == 0 && !j.closing {
 		b.close(now, j, Outcome{Kind: Completed})
 	}
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -292,8 +292,7 @@
 			continue
 		}
 		for _, t := range a.tasks {
-			limit := max(rescueFloor, rescueFactor*t.expected)
-			if !t.started || t.withdrawn || now-t.startedAt < limit || t.job.closing {
+			if !t.started || t.withdrawn || now-t.startedAt < t.rescueAfter(now) || t.job.closing {
 				continue
 			}
 			b.emit(Decided{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, What: "withdraw", Reason: "stuck",
@@ -302,3 +301,23 @@
 		}
 	}
 }
+
+// rescueAfter is the run time from which a run on an upstream that stands still is
+// stopped. The tasks of a job are alike, so those that have ended, or that still
+// run on other upstreams, tell more than what was expected of them.
+func (t *task) rescueAfter(now time.Duration) time.Duration {
+	var ended, running time.Duration
+	for _, other := range t.job.tasks {
+		switch {
+		case other.done && (ended == 0 || other.ran < ended):
+			ended = other.ran
+		case other.started && !other.agent.load.Stuck:
+			running = max(running, now-other.startedAt)
+		}
+	}
+	like := ended
+	if like == 0 {
+		like = running
+	}
+	return max(rescueFloor, rescueFactor*t.expected, rescueFactor*like)
+}
