Bound starts that reach a new life of the upstream; give up unanswered starts

Cause: the random runs delivered each order within a millisecond. Ruled out: the entry's bound (its message was later than the start), clock rates.

Change: a start without a list from the same life since counts as lapsed only after the longest lease; a stop closes the connection of its start. The existing test of a lapsed lease now lists the run first, as the short bound holds only from there; the long bound has a test of its own. Stops, and runs that the agent did not start, are logged with their reason.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -51,6 +51,8 @@
 	// where they are known.
 	dials  map[string]context.CancelFunc
 	byHost map[string]string
+	// starting are the orders to start that are under way.
+	starting map[wire.LeasedAttempt]*startCall
 	// wake has an element when the upstream may have to be asked for its runs.
 	wake    chan struct{}
 	listing *dependency
@@ -64,19 +66,26 @@
 	answered time.Duration
 }
 
+// startCall is an order to start that is under way.
+type startCall struct {
+	ctx    context.Context
+	giveUp context.CancelFunc
+}
+
 // StartAgent starts an agent.
 func StartAgent(o AgentOptions) *Agent {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		options: o, log: o.Log, ctx: ctx, cancel: cancel,
 		// A start well above zero: an echo of 0 is older than any limit.
-		started: boottime.Now() - time.Hour,
-		core:    runner.New(o.Runner),
-		links:   map[runner.EntryID]*link{},
-		dials:   map[string]context.CancelFunc{},
-		byHost:  map[string]string{},
-		wake:    make(chan struct{}, 1),
-		listing: newDependency("upstream", o.Log),
+		started:  boottime.Now() - time.Hour,
+		core:     runner.New(o.Runner),
+		links:    map[runner.EntryID]*link{},
+		dials:    map[string]context.CancelFunc{},
+		byHost:   map[string]string{},
+		starting: map[wire.LeasedAttempt]*startCall{},
+		wake:     make(chan struct{}, 1),
+		listing:  newDependency("upstream", o.Log),
 	}
 	a.core.SetToken(o.Token)
 	for _, seed := range o.Seeds {
@@ -113,24 +122,36 @@
 	switch m := effect.(type) {
 	case runner.StartRun:
 		token := a.core.Token()
-		a.run(func() { a.start(m, token) })
+		call := &startCall{}
+		call.ctx, call.giveUp = context.WithTimeout(a.ctx, a.options.Runner.OrderTimeout)
+		a.starting[m.Attempt] = call
+		a.run(func() { a.start(call, m, token) })
 		a.wakeUp()
 	case runner.StopRun:
+		if call := a.starting[m.Attempt]; call != nil {
+			call.giveUp()
+		}
 		token := a.core.Token()
 		a.run(func() { a.stop(m, token) })
 		a.wakeUp()
 	case runner.Report:
 		a.report(now, m)
 	case runner.Decided:
-		decisions(m.What).Inc()
-		queueTime.Update(m.Waited.Seconds())
-		a.log.Info(m.What, "job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
-			"entry", m.Entry.Host, "free_cpu", m.FreeCPU, "waited_ms", m.Waited.Milliseconds())
+		a.decided(m)
 	case runner.UpstreamRestarted:
 		a.log.Warn("upstream has a new life", "old", m.Old.ID, "old_born", m.Old.Born, "new", m.New.ID, "new_born", m.New.Born)
 	}
 }
 
+func (a *Agent) decided(m runner.Decided) {
+	decisions(m.What).Inc()
+	if m.What == "start" {
+		queueTime.Update(m.Waited.Seconds())
+	}
+	a.log.Info(m.What, "job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
+		"entry", m.Entry.Host, "reason", m.Reason, "free_cpu", m.FreeCPU, "waited_ms", m.Waited.Milliseconds())
+}
+
 func (a *Agent) report(now time.Duration, m runner.Report) {
 	if m.State.Final() {
 		decisions("end-" + m.State.String()).Inc()
--- a/internal/hosted/calls.go
+++ b/internal/hosted/calls.go
@@ -13,9 +13,6 @@
 // The agent's calls to its upstream: orders to start and stop, and questions for
 // the list of runs.
 const (
-	// orderTimeout bounds an order to the upstream, which answers in a
-	// millisecond when it is well.
-	orderTimeout = 250 * time.Millisecond
 	// holdWait is how long the upstream may delay its list until a run ends. A
 	// fraction of the lease, so that several renewals fit into it.
 	holdWait = 60 * time.Millisecond
@@ -33,17 +30,19 @@
 	maxDoublings = 10
 )
 
-func (a *Agent) start(m runner.StartRun, token uint64) {
-	ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
-	defer cancel()
+func (a *Agent) start(call *startCall, m runner.StartRun, token uint64) {
+	defer call.giveUp()
 	begin := time.Now()
-	answer, clock := a.options.Upstream.Start(ctx, m, token)
+	answer, clock := a.options.Upstream.Start(call.ctx, m, token)
 	startTime.UpdateDuration(begin)
 	if answer.Outcome != runner.StartAccepted {
 		a.log.Warn("start not accepted", "job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
 			"unanswered", answer.Outcome == runner.StartUnanswered, "reason", answer.Reason, "until_ms", m.Until, "clock_ms", clock)
 	}
 	a.do(func(now time.Duration, core *runner.Runner) {
+		if a.starting[m.Attempt] == call {
+			delete(a.starting, m.Attempt)
+		}
 		if clock > 0 {
 			core.Clock(now, clock)
 		}
@@ -53,7 +52,7 @@
 }
 
 func (a *Agent) stop(m runner.StopRun, token uint64) {
-	ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, a.options.Runner.OrderTimeout)
 	defer cancel()
 	taken, _, err := a.options.Upstream.Stop(ctx, m, token)
 	if err != nil {
@@ -123,7 +122,7 @@
 	if plan.Wait {
 		wait = holdWait
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, wait+orderTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, wait+a.options.Runner.OrderTimeout)
 	defer cancel()
 	answer, err := a.options.Upstream.Hold(ctx, id, plan, token, wait)
 	answer.AskedAt = asked
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -15,6 +15,7 @@
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/runner"
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // feed is a table in memory whose answers a test sets.
@@ -251,3 +252,46 @@
 		t.Errorf("%d questions in a second, want 4 to 20", n)
 	}
 }
+
+// muteUpstream answers no order to start before it is given up.
+type muteUpstream struct {
+	loneUpstream
+	asked, givenUp atomic.Bool
+}
+
+func (u *muteUpstream) Start(ctx context.Context, _ runner.StartRun, _ uint64) (runner.StartAnswer, int64) {
+	u.asked.Store(true)
+	<-ctx.Done()
+	u.givenUp.Store(true)
+	return runner.StartAnswer{Outcome: runner.StartUnanswered}, 0
+}
+
+// Guards against an order to start that is still under way when its run has been
+// stopped: the next life of the upstream, which knows of no stop, would accept it.
+func TestStopGivesUpTheStart(t *testing.T) {
+	u := &muteUpstream{}
+	settings := runner.DefaultSettings(1300*time.Millisecond, time.Second)
+	settings.OrderTimeout = time.Minute
+	a := StartAgent(AgentOptions{
+		Identity: Identity{Host: "a1", Incarnation: "1", DataCentre: "dc"}, Runner: settings, Store: &feed{},
+		Upstream: u, Token: 1, Log: slog.New(slog.DiscardHandler),
+	})
+	defer a.Stop()
+	entry := runner.EntryID{Host: "e1", Incarnation: "1"}
+	attempt := wire.LeasedAttempt{Task: wire.LeasedTask{Job: "j1"}, Run: 1}
+	a.Announce(runner.Announcement{Identity: runner.Identity{ID: "u", Born: 7}, Service: "s", CPU: 10_000, MemMB: 100, Seq: 1}, 1000)
+	eventually(t, "the start is not ordered", func() bool {
+		a.do(func(now time.Duration, core *runner.Runner) {
+			core.Connected(now, entry)
+			core.Confirm(entry, now)
+			if core.Load(now, entry).Ready {
+				core.Assign(now, entry, wire.Assign{Attempt: attempt, Service: "s", CPU: 1000, EchoMS: uint64(now / time.Millisecond)})
+			}
+		})
+		return u.asked.Load()
+	})
+	a.do(func(now time.Duration, core *runner.Runner) {
+		core.Withdraw(now, entry, wire.Withdraw{Attempt: attempt})
+	})
+	eventually(t, "the start is not given up", u.givenUp.Load)
+}
--- a/internal/leasetest/hosts_test.go
+++ b/internal/leasetest/hosts_test.go
@@ -180,6 +180,8 @@
 	seq                   uint64
 	holding               int
 	holdPause             time.Duration
+	// opening closes the connections of starts that are not open yet.
+	opening map[wire.LeasedAttempt]func()
 }
 
 func (a *agent) restart() {
@@ -189,6 +191,10 @@
 	a.core = runner.New(runner.DefaultSettings(resend, maxLease))
 	a.core.SetToken(uint64(a.w.now / time.Millisecond))
 	a.links = map[runner.EntryID]*conn{}
+	for _, closeNow := range a.opening {
+		closeNow()
+	}
+	a.opening = map[wire.LeasedAttempt]func(){}
 	a.beat, a.held, a.announced, a.holding, a.holdPause = 0, 0, 0, 0, 0
 }
 
@@ -214,7 +220,7 @@
 	}
 	switch m := effect.(type) {
 	case runner.StartRun:
-		a.order(func() { a.startNow(m, token, back) },
+		a.order(m.Attempt, func() { a.startNow(m, token, back) },
 			func() { a.up().start(m, token) },
 			func() {
 				back(func() {
@@ -224,7 +230,11 @@
 				})
 			})
 	case runner.StopRun:
-		a.order(func() {
+		if closeNow := a.opening[m.Attempt]; closeNow != nil {
+			closeNow()
+			delete(a.opening, m.Attempt)
+		}
+		a.order(wire.LeasedAttempt{}, func() {
 			ok := a.up().stop(m, token)
 			back(func() { a.do(func(r *runner.Runner) { r.Stopped(a.now(), m.Attempt, ok) }) })
 		}, func() { a.up().stop(m, token) }, func() {})
@@ -248,8 +258,9 @@
 	})
 }
 
-// order carries an order out now, or seconds later without an answer.
-func (a *agent) order(now, late, unanswered func()) {
+// order carries an order out now, or seconds later without an answer. The id is
+// that of a start, which may be given up; that of a stop is empty.
+func (a *agent) order(id wire.LeasedAttempt, now, late, unanswered func()) {
 	w := a.w
 	born, token := a.up().born, a.core.Token()
 	switch {
@@ -269,6 +280,21 @@
 		// Carried out at once, with its answer lost.
 		w.after(step, late)
 		w.after(250*time.Millisecond, unanswered)
+	case w.chance(w.lateOrders):
+		// Its connection takes long to open, to whichever life is there by then. An
+		// agent that gives the order up closes the connection.
+		opening := true
+		closeNow := func() { opening = false }
+		a.opening[id] = closeNow
+		w.after(w.between(step, 249*time.Millisecond), func() {
+			if opening {
+				late()
+			}
+		})
+		w.after(250*time.Millisecond, func() {
+			closeNow()
+			unanswered()
+		})
 	default:
 		w.after(step, now)
 	}
--- a/internal/leasetest/random_test.go
+++ b/internal/leasetest/random_test.go
@@ -156,6 +156,7 @@
 	{291265832185, "a withdrawal was lost with its link and not sent again on the next: two runs at a time"},
 	{956987346276, "an order reached the next life of an upstream under the same id, and its run was given up with those of the earlier life: two runs at a time"},
 	{624744298130, "an order for one life of an upstream was carried out by the next, whose clock had started anew: above its capacity"},
+	{1001756, "a new life's clock is behind, so a start for the earlier life got the longest lease, and its run was given up as lapsed before: two runs at a time"},
 	{1097872734584, "the end of a run was lost between two lives of an upstream, and its job was refused as not run"},
 }
 
--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -114,7 +114,7 @@
 	if m.Attempt.Run <= u.over[m.Attempt.Task] {
 		return refused("old")
 	}
-	u.until = max(u.until, m.Until)
+	u.renew(m.Until)
 	spec := u.w.specOf(m.Attempt.Task)
 	u.runs[m.Attempt] = &run{cpu: spec.cpu, endAt: u.w.now + time.Duration(u.slow*float64(spec.lasts)), how: spec.how(u.w.rng)}
 	used := 0
@@ -128,6 +128,12 @@
 	return runner.StartAnswer{Outcome: runner.StartAccepted}
 }
 
+// renew sets the end of the lease, which never shortens and is at most maxLease
+// away.
+func (u *upstream) renew(until int64) {
+	u.until = max(u.until, min(until, u.clock()+int64(maxLease/time.Millisecond)))
+}
+
 func (u *upstream) stop(m runner.StopRun, token uint64) bool {
 	if token < u.token {
 		return false
@@ -146,7 +152,7 @@
 func (u *upstream) hold(p runner.HoldPlan, token uint64) runner.HoldAnswer {
 	if token >= u.token {
 		u.token = token
-		u.until = max(u.until, p.Until)
+		u.renew(p.Until)
 		for len(u.ended) > 0 && u.ended[0].Number <= p.LastSeen {
 			u.ended = u.ended[1:]
 		}
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -56,6 +56,9 @@
 	// forgotten its end, because the first question to it takes note of ends by the
 	// numbers of the life before.
 	uncertain bool
+	// otherClock is set where the start was made for the clock of an earlier life: the
+	// present one, if it carries it out, grants its longest lease.
+	otherClock bool
 	// missing counts the lists in a row that lack a confirmed run.
 	missing int
 	endedAt time.Duration
@@ -263,9 +266,17 @@
 	a.phase = phaseStopping
 	a.reason = reason
 	a.stopFirst = now
+	r.emit(Decided{Entry: a.entry, Attempt: a.id, What: "stop", Reason: reason, FreeCPU: r.freeCPU(), Waited: now - a.sentAt})
 	r.sendStop(now, a)
 }
 
+func (r *Runner) freeCPU() int {
+	if r.upstream == nil {
+		return 0
+	}
+	return max(0, r.upstream.CPU-r.usedCPU)
+}
+
 func (r *Runner) sendStop(now time.Duration, a *attempt) {
 	a.stopLast = now
 	r.emit(StopRun{Upstream: r.identity(), Attempt: a.id})
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -19,7 +19,9 @@
 	Until    int64
 }
 
-// StopRun orders the upstream to stop an attempt.
+// StopRun orders the upstream to stop an attempt. If the order to start it is still
+// under way, its connection is closed first: a later life of the upstream, which knows
+// nothing of the stop, might accept it.
 type StopRun struct {
 	Upstream Identity
 	Attempt  wire.LeasedAttempt
@@ -39,6 +41,7 @@
 	Entry   EntryID
 	Attempt wire.LeasedAttempt
 	What    string
+	Reason  string
 	FreeCPU int
 	Waited  time.Duration
 }
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -251,6 +251,7 @@
 		return
 	}
 	r.foreign[id] = &foreignRun{stopLast: now}
+	r.emit(Decided{Attempt: id, What: "stop", Reason: "unknown-run", FreeCPU: r.freeCPU()})
 	r.emit(StopRun{Upstream: r.identity(), Attempt: id})
 }
 
@@ -275,7 +276,9 @@
 	}
 	for _, a := range slices.Clone(r.active) {
 		switch {
-		case !a.occupies() || running[a.id]:
+		case !a.occupies():
+			continue
+		case running[a.id]:
 		case a.phase == phaseRunning && a.confirmedAt < h.AskedAt:
 			r.finish(now, a, wire.RunStopped, reasonRestarted, now-a.sentAt)
 		case a.phase == phaseStarting:
@@ -287,6 +290,7 @@
 			a.stopTold, a.seenStopping = false, false
 			r.sendStop(now, a)
 		}
+		a.otherClock = true
 	}
 }
 
@@ -337,18 +341,32 @@
 // lapseMargin is added to the end of a lease for the upstream's own delay.
 const lapseMargin = 60 * time.Millisecond
 
-// HoldFailed handles a question to the upstream without an answer. When the
-// lease has not been renewed for longer than it lasts, all runs have lapsed.
+// HoldFailed handles a question to the upstream without an answer. Runs whose
+// lease has not been renewed for longer than it lasts have lapsed.
 func (r *Runner) HoldFailed(now time.Duration) {
-	lapsed := time.Duration(clockRate*float64(r.settings.Lease)) + lapseMargin
-	if now-r.lease.renewedAt <= lapsed {
+	if now-r.lease.renewedAt <= r.lapse(r.settings.Lease) {
 		return
 	}
 	for _, a := range slices.Clone(r.active) {
-		if a.occupies() {
+		if a.occupies() && now-r.lease.renewedAt > r.lapseOf(a) {
 			r.finish(now, a, wire.RunStopped, "lease-lapsed", now-a.sentAt)
 		}
 	}
 	r.dropWaiting(now, "upstream-silent")
 	r.lease.listed = false
 }
+
+// lapse is the time after its renewal at which a lease has ended for certain.
+func (r *Runner) lapse(lease time.Duration) time.Duration {
+	return time.Duration(clockRate*float64(lease)) + lapseMargin
+}
+
+// lapseOf is the same for an attempt. Without a list that was asked for after its
+// start, the start and the renewals since may have reached a new life of the
+// upstream, whose clock is behind: they are granted the longest lease.
+func (r *Runner) lapseOf(a *attempt) time.Duration {
+	if a.otherClock || a.sentAt >= r.lease.compared {
+		return r.settings.OrderTimeout + r.lapse(r.settings.MaxLease)
+	}
+	return r.lapse(r.settings.Lease)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -29,6 +29,12 @@
 	Silence time.Duration
 	// Lease is the time for which the upstream keeps its runs without a renewal.
 	Lease time.Duration
+	// MaxLease is the longest lease that the upstream grants. An order made for the
+	// clock of an earlier life gets it, whatever it asks for.
+	MaxLease time.Duration
+	// OrderTimeout bounds the time until an order is carried out or void, unless its
+	// upstream holds it back.
+	OrderTimeout time.Duration
 	// StartPatience is the age of an unanswered start from which a list of runs
 	// without it counts: the order is lost or late.
 	StartPatience time.Duration
@@ -44,11 +50,14 @@
 
 // DefaultSettings returns settings for callers that send a job again after
 // resend. Half of that time is left to the lease, which leaves the rest to
-// silence, to the stop itself and to clocks that differ by 2%.
+// silence, to the stop itself and to clocks that differ by 2%. The upstream, on the
+// same host, answers an order in a millisecond when it is well.
 func DefaultSettings(resend, maxLease time.Duration) Settings {
 	return Settings{
 		Silence:       resend * 38 / 100,
 		Lease:         min(resend*46/100, maxLease),
+		MaxLease:      maxLease,
+		OrderTimeout:  250 * time.Millisecond,
 		StartPatience: 25 * time.Millisecond,
 		StopRetry:     60 * time.Millisecond,
 		StopPatience:  50 * time.Millisecond,
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -269,6 +269,8 @@
 func TestLeaseLapsesOnSilentUpstream(t *testing.T) {
 	r := newReady(t)
 	assign(r, at, entryA, "j1", nil)
+	r.Held(at+2*time.Millisecond, HoldAnswer{AskedAt: at + time.Millisecond, ClockMS: 502, Born: life.Born,
+		Running: []wire.LeasedAttempt{attemptOf("j1", 1)}})
 	r.Take()
 	r.HoldFailed(at + r.settings.Lease)
 	if len(effects[Report](r)) != 0 {
@@ -280,6 +282,37 @@
 	}
 }
 
+// Guards against runs that are given up while a new life of the upstream runs them:
+// its clock has started anew, so a start for the earlier clock gets the longest lease.
+func TestStartWithoutAListMayHaveTheLongestLease(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		listed bool
+		runs   []wire.LeasedAttempt
+	}{
+		{"no list since the start", false, nil},
+		{"the new life's list has it", true, []wire.LeasedAttempt{attemptOf("j1", 1)}},
+		{"the new life's list lacks it", true, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newReady(t)
+			assign(r, at+time.Millisecond, entryA, "j1", nil)
+			if c.listed {
+				r.Held(at+3*time.Millisecond, HoldAnswer{AskedAt: at + 2*time.Millisecond, ClockMS: 5, Born: life.Born + 1, Running: c.runs})
+			}
+			r.Take()
+			r.HoldFailed(at + r.settings.MaxLease + r.settings.OrderTimeout)
+			if len(effects[Report](r)) != 0 {
+				t.Fatal("the run was given up within its lease")
+			}
+			r.HoldFailed(at + 1400*time.Millisecond)
+			if got := lastReport(t, r); got.State != wire.RunStopped || got.Reason != "lease-lapsed" {
+				t.Errorf("report %v %q", got.State, got.Reason)
+			}
+		})
+	}
+}
+
 // Guards against two entries' attempts with one number: a withdrawal by the first
 // must not stop the run of the second.
 func TestAttemptsOfTwoEntriesAreApart(t *testing.T) {
