Tell entries at once that an agent is ready; let agents gather after a restart

An agent told that it was ready only with its next beat, up to 100 ms later, and the first one that did got all jobs. Ruled out: the configuration (in force 20 ms after the start), discovery.

Change: a change of readiness is told on all links at once and logged. For 60 ms after the first agent has become usable, jobs without room wait for others.

The rigs of the broker's tests now start after that time.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -120,6 +120,10 @@
 	}
 	if worst > time.Duration(admitShare*float64(j.slack())) {
 		cancelPlan(placements)
+		if now < b.gathering {
+			b.keep(j)
+			return Outcome{}, false
+		}
 		return Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.jitter(minRetryAfter + worst)}, true
 	}
 	for _, p := range placements {
@@ -135,6 +139,10 @@
 	// lostHope is the time without a usable agent after which none is expected
 	// soon. Silent links are replaced within it.
 	lostHope = time.Second
+	// gatherTime is the time after the first agent has become usable in which others
+	// follow: agents that were away together, as after a restart of all, come back
+	// within some 40 ms. Until then a lack of room says nothing about the load.
+	gatherTime = 60 * time.Millisecond
 )
 
 // withoutUpstream handles a job that no agent can take now. It waits for one as
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -93,6 +93,9 @@
 	if a == nil || a.id != id {
 		return
 	}
+	if m.Load.Ready && b.Usable(now) == 0 {
+		b.gathering = now + gatherTime
+	}
 	a.beatAt = now
 	a.echo = max(a.echo, m.ClockMS)
 	a.load = m.Load
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -97,6 +97,8 @@
 	draining bool
 	lastTick time.Duration
 	quiet    time.Duration
+	// gathering is the time until which more agents are expected.
+	gathering time.Duration
 	// usableAt is when an agent could last be given tasks.
 	usableAt time.Duration
 	out      []Effect
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -31,6 +31,8 @@
 		g.connect(h, "1")
 		g.beat(h, load(10_000))
 	}
+	// A while after the start, as most of the time.
+	g.now += gatherTime
 	g.take()
 	return g
 }
@@ -344,6 +346,30 @@
 	}
 }
 
+// Guards against a first agent, after a restart of all, that gets all jobs or makes
+// the entry refuse them as overload, while the others are about to become usable.
+func TestJobsWaitForTheOtherAgentsAfterARestart(t *testing.T) {
+	g := newRig(t)
+	g.connect("a1", "1")
+	g.beat("a1", load(10_000))
+	g.take()
+	g.submit("j", 1, 4)
+	if got := answers(g.take()); len(got) != 0 {
+		t.Fatalf("answered %v, want a wait for more agents", got)
+	}
+	g.now += 20 * time.Millisecond
+	g.connect("a2", "1")
+	g.beat("a2", load(10_000))
+	if n := len(messages[wire.Assign](g.take())); n != 4 {
+		t.Errorf("%d orders, want 4", n)
+	}
+	g.now += 2 * gatherTime
+	g.submit("j2", 2, 4)
+	if got := answers(g.take()); len(got) != 1 || got[0].Outcome.Reason != "overload" {
+		t.Errorf("answers %v, want a refusal once the agents have gathered", got)
+	}
+}
+
 // Guards against a long job whose run is stopped on an upstream that is taken for
 // hung by chance: its other tasks show elsewhere how long they take.
 func TestRescueComparesTasksOfTheJob(t *testing.T) {
@@ -359,6 +385,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, "a1", "a2")
+			begin := g.now
 			g.submit("j", 1, 2)
 			orders := messages[wire.Assign](g.take())
 			if len(orders) != 2 || orders[0].agent == orders[1].agent {
@@ -368,7 +395,7 @@
 				g.report(o, wire.RunStarted, "")
 			}
 			for _, ms := range []int{100, 200, 300, 400} {
-				g.now = 10*time.Second + time.Duration(ms)*time.Millisecond
+				g.now = begin + time.Duration(ms)*time.Millisecond
 				stuck := load(0)
 				stuck.Stuck = ms == 400
 				g.beat(orders[0].agent.Host, stuck)
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -215,7 +215,7 @@
 		return
 	}
 	a, _, wait := b.choose(now, t)
-	if a == nil {
+	if a == nil || (wait > 0 && now < b.gathering) {
 		b.keepTask(t)
 		return
 	}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -138,6 +138,9 @@
 		a.report(now, m)
 	case runner.Decided:
 		a.decided(m)
+	case runner.ReadyChanged:
+		a.log.Info("readiness changed", "ready", m.Ready)
+		a.beat(now)
 	case runner.UpstreamRestarted:
 		a.log.Warn("upstream has a new life", "old", m.Old.ID, "old_born", m.Old.Born, "new", m.New.ID, "new_born", m.New.Born)
 	}
@@ -242,7 +245,6 @@
 	begin := a.now()
 	a.do(func(now time.Duration, core *runner.Runner) {
 		core.Leave(now)
-		a.beat(now)
 	})
 	a.log.Info("leaving", "grace_ms", grace.Milliseconds())
 	last := time.Duration(agentFinish * float64(grace))
--- a/internal/leasetest/hosts_test.go
+++ b/internal/leasetest/hosts_test.go
@@ -238,6 +238,8 @@
 			ok := a.up().stop(m, token)
 			back(func() { a.do(func(r *runner.Runner) { r.Stopped(a.now(), m.Attempt, ok) }) })
 		}, func() { a.up().stop(m, token) }, func() {})
+	case runner.ReadyChanged:
+		a.tellLoad()
 	case runner.Report:
 		a.w.note("agent %d: %v is %v: %s", a.index, m.Attempt, m.State, m.Reason)
 		if c := a.links[m.Entry]; c != nil {
@@ -336,8 +338,8 @@
 			a.lose(id, c)
 			continue
 		}
-		c.up(&wire.AgentBeat{ClockMS: uint64(a.now() / time.Millisecond), Load: a.core.Load(a.now(), id)})
 	}
+	a.tellLoad()
 	for _, e := range a.w.entries {
 		id := entryID(e)
 		if a.links[id] != nil || e.frozen {
@@ -351,6 +353,13 @@
 	}
 }
 
+// tellLoad sends a beat on each link.
+func (a *agent) tellLoad() {
+	for _, id := range a.linkIDs() {
+		a.links[id].up(&wire.AgentBeat{ClockMS: uint64(a.now() / time.Millisecond), Load: a.core.Load(a.now(), id)})
+	}
+}
+
 func (a *agent) linkIDs() []runner.EntryID {
 	return slices.SortedFunc(maps.Keys(a.links), func(x, y runner.EntryID) int {
 		return strings.Compare(x.Host+"/"+x.Incarnation, y.Host+"/"+y.Incarnation)
--- a/internal/leasetest/load_test.go
+++ b/internal/leasetest/load_test.go
@@ -208,3 +208,42 @@
 		t.Errorf("%d of %d jobs are not in aim, though upstreams are sound and two thirds idle", late, offered)
 	}
 }
+
+// Answers half load right after all processes were killed and have come back.
+// Guards against agents that are ready but tell it only with their next beat: the
+// first of them got all jobs, and most were refused beside idle upstreams.
+func TestJobsAfterARestartAreNotRefused(t *testing.T) {
+	refused, offered := 0, 0
+	for seed := range int64(8) {
+		var restarted time.Duration
+		var w *world
+		offer(t, 40+seed, 0.5, 3*time.Second, func(the *world) {
+			w = the
+			restarted = w.now + 2*time.Second
+			w.after(2*time.Second, w.restartAll)
+		})
+		for _, j := range w.jobs {
+			if j.sentAt < restarted+50*time.Millisecond || j.sentAt > restarted+500*time.Millisecond {
+				continue
+			}
+			offered++
+			if j.outcome == broker.Refused {
+				refused++
+			}
+		}
+	}
+	t.Logf("%d of %d jobs refused", refused, offered)
+	if refused > 0 {
+		t.Errorf("%d of %d jobs refused 50 ms and more after the restart, want none", refused, offered)
+	}
+}
+
+// restartAll ends all processes but the upstreams, and starts them again.
+func (w *world) restartAll() {
+	for _, e := range w.entries {
+		e.restart()
+	}
+	for _, a := range w.agents {
+		a.restart()
+	}
+}
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -36,6 +36,11 @@
 	Ran     time.Duration
 }
 
+// ReadyChanged says that the upstream may start tasks now, or no longer. Entries are to
+// know at once: those that wait for upstreams would otherwise send all jobs to the
+// first one.
+type ReadyChanged struct{ Ready bool }
+
 // Decided is a decision for the log.
 type Decided struct {
 	Entry   EntryID
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -99,6 +99,8 @@
 type Runner struct {
 	settings Settings
 	upstream *Announcement
+	// toldReady is the readiness that the last ReadyChanged told.
+	toldReady bool
 	// leaving is set when the agent shuts down.
 	leaving bool
 
@@ -139,6 +141,10 @@
 
 // Take returns the effects since the last call, in order.
 func (r *Runner) Take() []Effect {
+	if ready := r.ready(); ready != r.toldReady {
+		r.toldReady = ready
+		r.emit(ReadyChanged{Ready: ready})
+	}
 	out := r.out
 	r.out = nil
 	return out
