Log what a refusal at arrival was decided on

Cause: a refused job's log line gave a predicted wait of one task only, so it could not be told whether one task of the job lacked room or all did. Change: the line has the number of tasks and how many would have started at once.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -103,7 +103,7 @@
 // tasks.
 func (b *Broker) admit(now time.Duration, j *job) (Outcome, bool) {
 	if b.draining {
-		return Outcome{Kind: Refused, Reason: "entry-leaving", RetryAfter: minRetryAfter}, true
+		return b.refuse(j, Outcome{Kind: Refused, Reason: "entry-leaving", RetryAfter: minRetryAfter}, 0), true
 	}
 	if now < b.quiet {
 		b.keep(j)
@@ -111,12 +111,16 @@
 	}
 	placements := b.plan(now, j)
 	var worst time.Duration
+	atOnce := 0
 	for _, p := range placements {
 		if p.agent == nil {
 			cancelPlan(placements)
 			return b.withoutUpstream(now, j)
 		}
 		worst = max(worst, p.wait)
+		if p.wait == 0 {
+			atOnce++
+		}
 	}
 	if worst > time.Duration(admitShare*float64(j.slack())) {
 		cancelPlan(placements)
@@ -124,7 +128,7 @@
 			b.keep(j)
 			return Outcome{}, false
 		}
-		return Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.jitter(minRetryAfter + worst)}, true
+		return b.refuse(j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.jitter(minRetryAfter + worst)}, atOnce), true
 	}
 	for _, p := range placements {
 		b.assign(now, p.agent, p.task, p.wait)
@@ -132,6 +136,12 @@
 	return Outcome{}, false
 }
 
+// refuse logs a refusal at arrival with what decided it.
+func (b *Broker) refuse(j *job, o Outcome, atOnce int) Outcome {
+	b.emit(Decided{Job: j.sub.ID, What: "refuse", Reason: o.Reason, Wait: o.RetryAfter, Tasks: len(j.tasks), AtOnce: atOnce})
+	return o
+}
+
 const (
 	// startHope is the time after the start of the process in which agents are
 	// expected to connect.
@@ -149,7 +159,7 @@
 // long as its caller's time allows, if one is likely to come back.
 func (b *Broker) withoutUpstream(now time.Duration, j *job) (Outcome, bool) {
 	if now > startHope && now-b.usableAt > lostHope {
-		return Outcome{Kind: Refused, Reason: "no-upstream", RetryAfter: b.jitter(minRetryAfter)}, true
+		return b.refuse(j, Outcome{Kind: Refused, Reason: "no-upstream", RetryAfter: b.jitter(minRetryAfter)}, 0), true
 	}
 	b.keep(j)
 	return Outcome{}, false
--- a/internal/broker/effects.go
+++ b/internal/broker/effects.go
@@ -34,6 +34,9 @@
 	// report that it was predicted from.
 	Wait, Age time.Duration
 	FreeCPU   int
+	// Tasks is the number of the job's tasks, AtOnce how many of them would have
+	// started without a wait. Only refusals set them.
+	Tasks, AtOnce int
 }
 
 // OutcomeKind tells how a request ended.
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -98,7 +98,6 @@
 	b.jobs[sub.ID] = j
 	if refusal, refused := b.admit(now, j); refused {
 		delete(b.jobs, sub.ID)
-		b.emit(Decided{Job: sub.ID, What: "refuse", Reason: refusal.Reason, Wait: refusal.RetryAfter})
 		b.emit(Answer{Waiter: w, Job: sub.ID, Outcome: refusal})
 	}
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -116,11 +116,20 @@
 		}
 	case broker.Decided:
 		decisions(m.What).Inc()
-		e.log.Info(m.What, "job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
-			"wait_ms", m.Wait.Milliseconds(), "age_ms", m.Age.Milliseconds(), "free_cpu", m.FreeCPU)
+		e.decided(m)
 	}
 }
 
+func (e *Entry) decided(m broker.Decided) {
+	if m.What == "refuse" {
+		e.log.Info(m.What, "job", m.Job, "reason", m.Reason, "retry_after_ms", m.Wait.Milliseconds(),
+			"tasks", m.Tasks, "at_once", m.AtOnce)
+		return
+	}
+	e.log.Info(m.What, "job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
+		"wait_ms", m.Wait.Milliseconds(), "age_ms", m.Age.Milliseconds(), "free_cpu", m.FreeCPU)
+}
+
 func (e *Entry) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
