Recall the upstream's announcement from the store after an agent's restart

A restarted agent knew neither its upstream's capacity nor its life before the next heartbeat, which comes every 1.5 s; half of the capacity was idle meanwhile while jobs were refused. The same holds for each restart of a single agent. Ruled out: runs of the earlier process (gone within 50 ms), discovery, the store.

Change: the agent stores what its upstream says of itself when that has changed (a row for each agent, written under a condition), its next process reads it, and the first list of runs shows whether it is still the same life. It counts for 2.5 s without a heartbeat, and not at all for an upstream that leaves.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -56,6 +56,7 @@
 	// wake has an element when the upstream may have to be asked for its runs.
 	wake    chan struct{}
 	listing *dependency
+	memory  *memory
 	// holdFailures counts the questions in a row that failed.
 	holdFailures atomic.Uint32
 }
@@ -85,6 +86,7 @@
 		byHost:   map[string]string{},
 		starting: map[wire.LeasedAttempt]*startCall{},
 		wake:     make(chan struct{}, 1),
+		memory:   newMemory(o.Store, o.Identity.Host, o.Log),
 		listing:  newDependency("upstream", o.Log),
 	}
 	a.core.SetToken(o.Token)
@@ -92,6 +94,7 @@
 		a.dial(seed)
 	}
 	a.run(func() { follow(ctx, o.Store, hostsTable, hostsWait, o.Log, a.hostsChanged) })
+	a.run(func() { a.memory.run(ctx, a.recall) })
 	a.run(a.tick)
 	a.run(a.holdLoop)
 	return a
@@ -141,6 +144,8 @@
 	case runner.ReadyChanged:
 		a.log.Info("readiness changed", "ready", m.Ready)
 		a.beat(now)
+	case runner.Recalled:
+		a.log.Info("upstream recalled", "instance", m.ID, "born", m.Born, "draining", m.Draining)
 	case runner.UpstreamRestarted:
 		a.log.Warn("upstream has a new life", "old", m.Old.ID, "old_born", m.Old.Born, "new", m.New.ID, "new_born", m.New.Born)
 	}
@@ -224,6 +229,7 @@
 	a.do(func(now time.Duration, core *runner.Runner) {
 		if core.Announce(now, u) {
 			core.BeatClock(now, clockMS)
+			a.memory.keep(u)
 		} else {
 			a.log.Info("old heartbeat ignored", "instance", u.ID, "born", u.Born, "seq", u.Seq)
 		}
@@ -237,6 +243,12 @@
 	a.do(func(now time.Duration, core *runner.Runner) { core.Depart(now, id) })
 }
 
+// recall uses what the upstream has said to an earlier process of the agent.
+func (a *Agent) recall(said runner.Announcement) {
+	a.do(func(now time.Duration, core *runner.Runner) { core.Recall(now, said) })
+	a.wakeUp()
+}
+
 const (
 	// agentFinish is the part of the grace time after which runs are stopped.
 	agentFinish = 0.75
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 	version   uint64
 	gone      bool
 	snapshots int
+	// kept are the rows that were written with Commit.
+	kept map[string]platform.Row
 }
 
 func (f *feed) Snapshot(context.Context, string) ([]platform.Row, uint64, error) {
@@ -54,8 +57,32 @@
 	return changes, f.version, nil
 }
 
-func (f *feed) Commit(context.Context, platform.Transaction) ([]uint64, error) {
-	return []uint64{1}, nil
+func (f *feed) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.kept[key]; ok {
+		return r, nil
+	}
+	return platform.Row{}, fault.NotFound.New("%s", key)
+}
+
+func (f *feed) Commit(_ context.Context, t platform.Transaction) ([]uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range t.Conditions {
+		if f.kept[c.Key].Version != c.Version {
+			return nil, fault.Conflict.New("%s", c.Key)
+		}
+	}
+	if f.kept == nil {
+		f.kept = map[string]platform.Row{}
+	}
+	versions := make([]uint64, len(t.Writes))
+	for i, w := range t.Writes {
+		versions[i] = f.kept[w.Key].Version + 1
+		f.kept[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: versions[i]}
+	}
+	return versions, nil
 }
 
 func (f *feed) put(key, value string) {
@@ -295,3 +322,50 @@
 	})
 	eventually(t, "the start is not given up", u.givenUp.Load)
 }
+
+// Guards against an agent that stands idle after its restart until the upstream's next
+// heartbeat, and against a row that does not follow what the upstream says.
+func TestRestartedAgentRecallsItsUpstream(t *testing.T) {
+	f := &feed{}
+	start := func(incarnation string, token uint64) *Agent {
+		return StartAgent(AgentOptions{
+			Identity: Identity{Host: "a1", Incarnation: incarnation, DataCentre: "dc"},
+			Runner:   runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: f,
+			Upstream: &loneUpstream{}, Token: token, Log: slog.New(slog.DiscardHandler),
+		})
+	}
+	ready := func(a *Agent) (ready bool) {
+		a.do(func(now time.Duration, core *runner.Runner) { ready = core.Load(now, runner.EntryID{}).Ready })
+		return ready
+	}
+	row := func() upstreamRow {
+		var r upstreamRow
+		kept, err := f.Get(context.Background(), "upstreams/a1")
+		if err == nil {
+			err = json.Unmarshal(kept.Value, &r)
+		}
+		if err != nil {
+			return upstreamRow{}
+		}
+		return r
+	}
+	first := start("1", 1)
+	said := runner.Announcement{Identity: runner.Identity{ID: "u", Born: 7}, Service: "s", CPU: 10_000, MemMB: 100, Seq: 1}
+	first.Announce(said, 1000)
+	eventually(t, "the announcement is not stored", func() bool { return row().CPU == 10_000 })
+	first.Stop()
+
+	second := start("2", 2)
+	eventually(t, "the restarted agent is not ready", func() bool { return ready(second) })
+	said.Draining = true
+	second.Announce(said, 2000)
+	eventually(t, "the row does not say that the upstream leaves", func() bool { return row().Draining })
+	second.Stop()
+
+	third := start("3", 3)
+	defer third.Stop()
+	time.Sleep(100 * time.Millisecond)
+	if ready(third) {
+		t.Error("ready with an upstream that leaves")
+	}
+}
