--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -49,6 +49,9 @@
 	// Overdue runs of overdueJobs jobs and no end for overdueSilence show it sooner.
 	overdueJobs    = 3
 	overdueSilence = 250 * time.Millisecond
+	// countedJobs is the number of jobs whose runs are told apart, far more than
+	// healthMemory looks back.
+	countedJobs = 128
 	// failurePrior is the weight, in runs, of the assumption that runs do not fail.
 	failurePrior = 3
 )
@@ -61,6 +64,10 @@
 	// runs and failed are the decayed numbers of runs that ended done or failed.
 	runs, failed float64
 	lastEnd      time.Duration
+	// counted are the numbers of runs by job that have ended here, of the last
+	// countedJobs jobs in recent.
+	counted map[string]int
+	recent  []string
 
 	// suspect is set while runs stand still or fail. The upstream then gets one
 	// task at a time, at intervals, until one succeeds: evidence that merely fades
@@ -85,18 +92,36 @@
 	return math.Exp2(-float64(now-h.lastEnd) / float64(healthHalfLife))
 }
 
+// share is the weight of the next run of a job. The tasks of a job are long, or fail,
+// together: the n-th tells an n-th of what the first did.
+func (h *health) share(job string) float64 {
+	if h.counted == nil {
+		h.counted = map[string]int{}
+	}
+	if h.counted[job] == 0 {
+		if len(h.recent) == countedJobs {
+			delete(h.counted, h.recent[0])
+			h.recent = h.recent[1:]
+		}
+		h.recent = append(h.recent, job)
+	}
+	h.counted[job]++
+	return 1 / float64(h.counted[job])
+}
+
 func (h *health) ended(now time.Duration, a *attempt, how How, ran time.Duration) {
 	if how == HowStopped {
 		return
 	}
-	keep := healthMemory * h.fade(now)
-	h.runs = h.runs*keep + 1
+	share := h.share(a.id.Task.Job)
+	keep := math.Pow(healthMemory, share) * h.fade(now)
+	h.runs = h.runs*keep + share
 	h.failed *= keep
 	h.weight *= keep
 	h.logs *= keep
 	h.lastEnd = now
 	if how == HowFailed {
-		h.failed++
+		h.failed += share
 		if h.failurePercent(now) > brokenPercent {
 			h.doubt(now)
 		}
@@ -106,8 +131,8 @@
 		*h = health{lastEnd: now}
 		return
 	}
-	h.weight++
-	h.logs += logRatio(ran, a.order.ExpectMS)
+	h.weight += share
+	h.logs += share * logRatio(ran, a.order.ExpectMS)
 }
 
 func (h *health) failurePercent(now time.Duration) uint32 {
@@ -120,14 +145,17 @@
 func (r *Runner) slowness(now time.Duration) uint32 {
 	f := r.health.fade(now)
 	weight, logs := r.health.weight*f, r.health.logs*f
+	overdueOf := map[string]int{}
 	for _, a := range r.active {
 		if !a.occupies() {
 			continue
 		}
 		age := now - a.sentAt
 		if overdue(age, a.order.ExpectMS) {
-			weight++
-			logs += logRatio(age, a.order.ExpectMS)
+			overdueOf[a.id.Task.Job]++
+			share := 1 / float64(overdueOf[a.id.Task.Job])
+			weight += share
+			logs += share * logRatio(age, a.order.ExpectMS)
 		}
 	}
 	slow := math.Exp(logs / (weight + healthPrior))
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -337,15 +338,15 @@
 	times := []time.Duration{60, 180, 90, 700, 110, 50, 140, 80, 100, 210}
 	now := at
 	for i := range 40 {
-		a := &attempt{sentAt: now, order: wire.Assign{ExpectMS: 100}}
+		a := &attempt{id: attemptOf(fmt.Sprint("a", i), 1), sentAt: now, order: wire.Assign{ExpectMS: 100}}
 		now += 20 * time.Millisecond
 		r.health.ended(now, a, HowDone, times[i%len(times)]*time.Millisecond)
 	}
 	if s := r.slowness(now); s != soundSlowness {
 		t.Errorf("slowness %d, want %d", s, soundSlowness)
 	}
-	for range 10 {
-		a := &attempt{sentAt: now, order: wire.Assign{ExpectMS: 100}}
+	for i := range 10 {
+		a := &attempt{id: attemptOf(fmt.Sprint("b", i), 1), sentAt: now, order: wire.Assign{ExpectMS: 100}}
 		now += 20 * time.Millisecond
 		r.health.ended(now, a, HowDone, 500*time.Millisecond)
 	}
@@ -357,6 +358,38 @@
 	}
 }
 
+// Guards against one long job, or one that fails wherever it runs, that is taken for a
+// slow or broken upstream (one at a crest got next to nothing for 0.8 s).
+func TestTasksOfOneJobAreOneEvidence(t *testing.T) {
+	r := newReady(t)
+	now := at
+	end := func(job string, how How, ran time.Duration) {
+		now += 20 * time.Millisecond
+		r.health.ended(now, &attempt{id: attemptOf(job, 1), sentAt: now - ran, order: wire.Assign{ExpectMS: 100}}, how, ran)
+	}
+	for i := range 10 {
+		end(fmt.Sprint("a", i), HowDone, 100*time.Millisecond)
+	}
+	for range 6 {
+		end("long", HowDone, 600*time.Millisecond)
+	}
+	if s := r.slowness(now); s != soundSlowness {
+		t.Errorf("slowness %d after one long job, want %d", s, soundSlowness)
+	}
+	for range 6 {
+		end("poison", HowFailed, 100*time.Millisecond)
+	}
+	if avoided, _ := r.avoided(now); avoided {
+		t.Error("avoided after one job that fails")
+	}
+	for i := range 8 {
+		end(fmt.Sprint("b", i), HowFailed, 100*time.Millisecond)
+	}
+	if avoided, _ := r.avoided(now); !avoided {
+		t.Error("not avoided after eight jobs that fail")
+	}
+}
+
 // Guards against a long job that is taken for an upstream that stands still: its
 // tasks are long together, so several overdue runs of one job are evidence of one.
 func TestStuckNeedsOverdueRunsOfSeveralJobs(t *testing.T) {
