Take lost orders no longer for an upstream that stands still

Starts and stops without an answer counted as overdue runs, so that upstreams with sound lists were avoided, and one missing list after another did the same for a while longer. Ruled out: room (the stops were told within 160 ms in the median), readiness.

Change: only confirmed runs are evidence while lists come; a suspicion that rests on silence ends with the next list.

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -52,6 +52,9 @@
 	// countedJobs is the number of jobs whose runs are told apart, far more than
 	// healthMemory looks back.
 	countedJobs = 128
+	// muteAfter is the time without a list from which the upstream counts as mute.
+	// Lists come every 60 ms, so some of them are missing.
+	muteAfter = 250 * time.Millisecond
 	// failurePrior is the weight, in runs, of the assumption that runs do not fail.
 	failurePrior = 3
 )
@@ -74,6 +77,9 @@
 	// would let a whole load run into it again.
 	suspect   bool
 	suspectAt time.Duration
+	// mute is set where the suspicion rests on orders without an answer. The next list
+	// ends it.
+	mute bool
 	probeAt   time.Duration
 }
 
@@ -147,7 +153,7 @@
 	weight, logs := r.health.weight*f, r.health.logs*f
 	overdueOf := map[string]int{}
 	for _, a := range r.active {
-		if !a.occupies() {
+		if !r.observed(now, a) {
 			continue
 		}
 		age := now - a.sentAt
@@ -165,6 +171,12 @@
 	return uint32(100 * slow)
 }
 
+// observed is whether the age of an attempt tells something of the upstream. An order
+// that was lost tells nothing of its speed, unless the upstream does not answer at all.
+func (r *Runner) observed(now time.Duration, a *attempt) bool {
+	return a.occupies() && (a.confirmedAt > 0 || now-r.lease.heardAt > muteAfter)
+}
+
 // overdue is whether a run has taken far longer than expected.
 func overdue(age time.Duration, expectMS uint32) bool {
 	return float64(age) > overrun*float64(expectMS)*float64(time.Millisecond)
@@ -175,7 +187,7 @@
 func (r *Runner) stuck(now time.Duration) bool {
 	still, late := map[string]bool{}, map[string]bool{}
 	for _, a := range r.active {
-		if !a.occupies() {
+		if !r.observed(now, a) {
 			continue
 		}
 		age := now - a.sentAt
@@ -201,7 +213,16 @@
 // watch raises a suspicion when runs stand still.
 func (r *Runner) watch(now time.Duration) {
 	if r.stuck(now) || (r.health.suspect && r.Running() > 0) {
+		fresh := !r.health.suspect
 		r.health.doubt(now)
+		r.health.mute = r.health.mute || (fresh && now-r.lease.heardAt > muteAfter)
+	}
+}
+
+// heard ends a suspicion that rests on silence alone.
+func (h *health) heard() {
+	if h.mute {
+		h.suspect, h.mute = false, false
 	}
 }
 
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -34,6 +34,8 @@
 	asked time.Duration
 	// compared is when the newest list that was compared was asked for.
 	compared time.Duration
+	// heardAt is when the last list came.
+	heardAt time.Duration
 	// dropped is the agent's time from which answers that were asked for count.
 	dropped time.Duration
 }
@@ -173,6 +175,8 @@
 		r.lease.born = h.Born
 	}
 	first := !r.lease.listed
+	r.lease.heardAt = now
+	r.health.heard()
 	r.Clock(now, h.ClockMS)
 	r.lease.acknowledged = max(r.lease.acknowledged, h.Asked.LastSeen)
 	for _, e := range h.Ended {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -423,6 +423,37 @@
 	}
 }
 
+// Guards against an upstream that is avoided because orders to it get no answer, though
+// its lists come: with 40% of the orders lost half of the upstreams stood idle.
+func TestLostOrdersAreNoHungUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		listed bool
+	}{{"lists come", true}, {"the upstream is mute", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newReady(t)
+			for _, job := range []string{"j1", "j2", "j3", "j4"} {
+				assign(r, at, entryA, job, func(m *wire.Assign) { m.CPU, m.ExpectMS = 1000, 50 })
+			}
+			now := at
+			for ; now < at+600*time.Millisecond; now += 20 * time.Millisecond {
+				r.Confirm(entryA, now)
+				if c.listed {
+					r.Held(now, HoldAnswer{AskedAt: now - time.Millisecond, ClockMS: 500 + int64((now-at)/time.Millisecond), Born: life.Born})
+				}
+				r.Tick(now)
+			}
+			if got := r.Load(now, entryA).Stuck; got != !c.listed {
+				t.Errorf("stuck is %v", got)
+			}
+			r.Held(now, HoldAnswer{AskedAt: now - time.Millisecond, ClockMS: 1200, Born: life.Born})
+			if r.Load(now, entryA).Stuck {
+				t.Error("stuck though a list has come")
+			}
+		})
+	}
+}
+
 // newRecalled returns a runner of an agent that was restarted and recalls the
 // upstream's life 7.
 func newRecalled(t *testing.T) *Runner {
