--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -79,8 +79,8 @@
 	suspectAt time.Duration
 	// mute is set where the suspicion rests on orders without an answer. The next list
 	// ends it.
-	mute bool
-	probeAt   time.Duration
+	mute    bool
+	probeAt time.Duration
 }
 
 // logRatio is the bounded logarithm of a run time relative to the expected one.
