--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -89,12 +89,17 @@
 	dep := newDependency("store-"+table, log)
 	var version uint64
 	known := false
+	var err error
 	for ctx.Err() == nil {
-		var err error
-		if !known {
+		switch {
+		case !known:
 			version, err = snapshot(ctx, store, table, changed)
 			known = err == nil
-		} else {
+		case err != nil:
+			// Without a wait, so that the store's return is not noticed late.
+			version, err = watch(ctx, store, table, version, 0, changed)
+			known = !fault.IsHistoryGone(err)
+		default:
 			version, err = watch(ctx, store, table, version, wait, changed)
 			known = !fault.IsHistoryGone(err)
 		}
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -176,6 +176,53 @@
 	}
 }
 
+// slowFeed has no changes: its calls take the whole time that they may wait, and fail
+// while it is away.
+type slowFeed struct {
+	feed
+	away atomic.Bool
+}
+
+func (f *slowFeed) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	if f.away.Load() {
+		return nil, 0, fault.Unavailable.New("away")
+	}
+	sleep(ctx, wait)
+	return nil, after, nil
+}
+
+// lines counts log lines that contain a text.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// Guards against a store that is back, but counts as lost until a call that waits for
+// changes has ended (5 s in a played day).
+func TestReturnOfTheStoreIsNoticed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := &slowFeed{}
+	f.away.Store(true)
+	var log lines
+	go follow(ctx, f, hostsTable, time.Minute, slog.New(slog.NewTextHandler(&log, nil)), func([]platform.Change, bool) {})
+	eventually(t, "the loss is not noticed", func() bool { return log.has("dependency lost") })
+	f.away.Store(false)
+	eventually(t, "the return is not noticed", func() bool { return log.has("dependency regained") })
+}
+
 // loneUpstream accepts all starts and ends each run at once.
 type loneUpstream struct {
 	mu     sync.Mutex
