--- a/internal/leasetest/load_test.go
+++ b/internal/leasetest/load_test.go
@@ -170,7 +170,11 @@
 	for seed := range int64(plays) {
 		c := offer(t, 2+seed, 2, 6*time.Second, nil)
 		t.Log(c)
-		share += 2 * c.workInAim / c.work / plays
+		one := 2 * c.workInAim / c.work
+		if seed == 0 && one < 0.9 {
+			t.Errorf("work in aim of the first play is %.3f of the capacity, want 0.9", one)
+		}
+		share += one / plays
 	}
 	if share < 0.9 {
 		t.Errorf("work in aim is %.3f of the capacity, want 0.9", share)
--- a/internal/leasetest/random_test.go
+++ b/internal/leasetest/random_test.go
@@ -174,7 +174,11 @@
 // case out.
 func TestLateOrdersReachTheNextLife(t *testing.T) {
 	defer invariant.SetStrict(invariant.SetStrict(true))
+	seeds := []int64{666, 705, 1048, 1645, 2102, 2428}
 	for seed := range int64(600) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		if _, failure := playWith(seed, func(w *world) { w.ordersOutliveLives = true }); failure != "" {
 			t.Errorf("seed %d: %s", seed, failure)
 		}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -17,12 +17,18 @@
 	life   = Identity{ID: "u", Born: 7}
 )
 
-// newReady returns a runner whose upstream has 10 cores and runs nothing.
-func newReady(t *testing.T) *Runner {
+// newStrict returns a runner without an upstream, whose invariants end the test.
+func newStrict(t *testing.T) *Runner {
 	t.Helper()
 	before := invariant.SetStrict(true)
 	t.Cleanup(func() { invariant.SetStrict(before) })
-	r := New(DefaultSettings(1300*time.Millisecond, time.Second))
+	return New(DefaultSettings(1300*time.Millisecond, time.Second))
+}
+
+// newReady returns a runner whose upstream has 10 cores and runs nothing.
+func newReady(t *testing.T) *Runner {
+	t.Helper()
+	r := newStrict(t)
 	r.SetToken(1)
 	r.Connected(at, entryA)
 	r.Announce(at, Announcement{Identity: life, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 1})
@@ -458,9 +464,7 @@
 // upstream's life 7.
 func newRecalled(t *testing.T) *Runner {
 	t.Helper()
-	before := invariant.SetStrict(true)
-	t.Cleanup(func() { invariant.SetStrict(before) })
-	r := New(DefaultSettings(1300*time.Millisecond, time.Second))
+	r := newStrict(t)
 	r.SetToken(2)
 	r.Connected(at, entryA)
 	r.Recall(at, Announcement{Identity: life, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 9})
