Order the processes of an agent by what its links prove, and wait for live runs

Cause: after a pause an entry handles the links of earlier and present processes of an agent together. Ruled out: clocks of hosts as the order, since they jump back; a counter of the store, since agents start while it is away. Change: a link counts from its first heartbeat, which an agent sends after it has received the entry's Hello. Of two processes, the one that was alive after the other was known is the later; a link without that proof is refused and dialled again. Of two links of a process the one with the later clock is used. A task that an agent reports as live is offered only to that agent until its run has ended, and its job counts as one that may have run; the same holds for a refusal as "old", for "replaced", and for jobs whose agent was out of reach, or the entry paused, for longer than runs last without it. Log lines that are not about jobs have a bound of their own. The random model plays the exchange of Hellos, links that are given up, and backlogs after a pause.

--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -15,6 +15,9 @@
 	key        string
 	dataCentre string
 	connected  bool
+	// introducedAt is when the process's first Hello arrived: the process had started
+	// by then.
+	introducedAt time.Duration
 	// heartbeatAt is when the last heartbeat arrived, echoMS the highest agent clock
 	// in a heartbeat so far.
 	heartbeatAt time.Duration
@@ -50,22 +53,48 @@
 	a.unreported = a.unreported[n:]
 }
 
-// Connected handles a new link from an agent.
-func (b *Broker) Connected(now time.Duration, id AgentID, dataCentre string) {
-	a := b.agents[id.Host]
-	if a != nil && a.id != id {
+// Link describes a link from an agent whose first heartbeat has arrived.
+type Link struct {
+	Agent      AgentID
+	DataCentre string
+	// HelloSentAt is when the entry's Hello was sent. The agent sends its first
+	// heartbeat after it has received that Hello, so its process was alive then.
+	HelloSentAt time.Duration
+	// HelloReceivedAt is when the agent's Hello arrived.
+	HelloReceivedAt time.Duration
+	// ClockMS is the agent's clock in the first heartbeat.
+	ClockMS uint64
+}
+
+// Connected handles a new link from an agent and reports whether it is used. Links
+// that were opened while the entry was paused arrive in any order, so a link is
+// refused unless it is certainly not older than the one that the broker has:
+//   - Of two processes on a host, the one that was alive after the other was known is
+//     the later one. No clock of a host decides this.
+//   - Of two links of a process, the later one has the later clock.
+//
+// An agent whose link is refused dials again, and the new link shows the order.
+func (b *Broker) Connected(now time.Duration, l Link) bool {
+	a := b.agents[l.Agent.Host]
+	if a != nil && b.outdated(a, l) {
+		b.emit(Decision{Agent: l.Agent.Host, Action: "refuse-link", Reason: "process-order-unknown", ReportAge: now - a.heartbeatAt})
+		return false
+	}
+	if a != nil && a.id != l.Agent {
 		// A new process of the agent. It takes no task before it has ended all
 		// runs of the earlier one, whose outcomes are lost.
 		b.loseTasks(now, a, "agent-restarted", true)
 		a = nil
 	}
 	if a == nil {
-		a = &agent{id: id, key: id.Host}
+		a = &agent{id: l.Agent, key: l.Agent.Host, introducedAt: l.HelloReceivedAt}
 		b.agents[a.key] = a
 		b.agentList = append(b.agentList, a)
+	} else if b.runsEnded(now, a) {
+		a.assumeStarted()
 	}
 	a.connected = true
-	a.dataCentre = dataCentre
+	a.dataCentre = l.DataCentre
 	a.unreported = nil
 	a.seq = 0
 	if len(a.tasks) > 0 {
@@ -80,6 +109,15 @@
 			b.withdraw(now, t, t.onlyIfWaiting)
 		}
 	}
+	return true
+}
+
+// outdated reports whether the link may be older than the agent's present one.
+func (b *Broker) outdated(a *agent, l Link) bool {
+	if a.id != l.Agent {
+		return l.HelloSentAt < a.introducedAt
+	}
+	return l.ClockMS < a.echoMS
 }
 
 // Disconnected handles the end of an agent's link.
@@ -114,7 +152,7 @@
 // long that their runs have ended.
 func (b *Broker) expireSilentAgents(now time.Duration) {
 	for _, a := range slices.Clone(b.agentList) {
-		if now-a.heartbeatAt <= b.settings.RunsEndedAfter || now-a.confirmedAt <= b.settings.RunsEndedAfter {
+		if !b.runsEnded(now, a) {
 			continue
 		}
 		b.loseTasks(now, a, "agent-silent", false)
@@ -124,6 +162,21 @@
 	}
 }
 
+// runsEnded reports whether the agent has been unreachable for so long that all its
+// runs have ended.
+func (b *Broker) runsEnded(now time.Duration, a *agent) bool {
+	return now-a.heartbeatAt > b.settings.RunsEndedAfter && now-a.confirmedAt > b.settings.RunsEndedAfter
+}
+
+// assumeStarted marks the jobs of the agent's tasks as ones that may have run. Once the
+// runs have ended, the agent may have dropped their records and reports them as not
+// started.
+func (a *agent) assumeStarted() {
+	for _, t := range a.tasks {
+		t.job.started = true
+	}
+}
+
 // loseTasks gives up all tasks of an agent, whose outcomes will never be known. If
 // wait is set, their runs may continue for a while, so the tasks are placed again
 // only later.
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -217,7 +217,14 @@
 // ProcessResumed handles the end of a pause of the process that was longer than a
 // few ticks. Until ResumeDelay has passed the broker sends no commands, so that it
 // first learns which callers have left: their jobs may run elsewhere by now.
-func (b *Broker) ProcessResumed(now time.Duration) { b.suspendedUntil = now + b.settings.ResumeDelay }
+func (b *Broker) ProcessResumed(now time.Duration) {
+	b.suspendedUntil = now + b.settings.ResumeDelay
+	for _, a := range b.agentList {
+		if b.runsEnded(now, a) {
+			a.assumeStarted()
+		}
+	}
+}
 
 func (b *Broker) expireAnswers(now time.Duration) {
 	for len(b.answerExpiries) > 0 && now >= b.answerExpiries[0].at {
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -70,6 +70,10 @@
 	acceptedToWait bool
 	// unplaced is whether the task is in Broker.unplaced.
 	unplaced bool
+	// liveAt is the agent that last refused the task because another run of it is live
+	// there, nil if there is none; liveRetryAt is when that agent is asked again.
+	liveAt      *agent
+	liveRetryAt time.Duration
 }
 
 func (t *task) attempt() wire.LeasedAttempt {
@@ -229,6 +233,7 @@
 	switch m.State {
 	case wire.RunWaiting:
 	case wire.RunStarted:
+		t.liveAt = nil
 		if !t.started {
 			t.started, t.startedAt = true, now
 			t.job.started = true
@@ -260,7 +265,8 @@
 	j := t.job
 	withdrawn := t.withdrawn
 	b.detach(t)
-	if m.State != wire.RunNotStarted {
+	t.liveAt = nil
+	if m.State != wire.RunNotStarted || mayHaveRun[m.Reason] {
 		j.started = true
 	}
 	switch m.State {
@@ -303,6 +309,12 @@
 // notStarted handles an attempt that never ran.
 func (b *Broker) notStarted(now time.Duration, t *task, a *agent, m wire.RunReport, withdrawn bool) {
 	j := t.job
+	if m.Reason == reasonLive {
+		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "not-started", Reason: m.Reason})
+		t.liveAt, t.liveRetryAt = a, now+liveRetry
+		b.placeAgain(now, t)
+		return
+	}
 	if withdrawn && !j.closing {
 		t.rejections = 0
 		b.placeAgain(now, t)
@@ -324,6 +336,19 @@
 	b.placeAgain(now, t)
 }
 
+// reasonLive is the agent's reason for not starting a task of which another run is live
+// on its upstream: one that was started for another entry, or that this broker has given
+// up. The task must not start elsewhere before that run has ended.
+const reasonLive = "task-is-live"
+
+// mayHaveRun holds the reasons for not starting an attempt that show that an earlier run
+// of the task has started, or may have.
+var mayHaveRun = map[string]bool{reasonLive: true, upstreamRefusalPrefix + "old": true}
+
+// liveRetry is the time after which an agent that has refused a task as live is asked
+// again.
+const liveRetry = 25 * time.Millisecond
+
 // agentWideRefusals are the agent's reasons that apply to all tasks.
 var agentWideRefusals = map[string]bool{
 	"no-upstream": true, "agent-leaving": true, "draining": true, "departed": true, "not-ready": true,
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -221,6 +221,10 @@
 		b.retainTask(t)
 		return
 	}
+	if t.liveAt != nil {
+		b.placeWhereLive(now, t)
+		return
+	}
 	a, _, wait := b.chooseAgent(now, t)
 	if a == nil || (wait > 0 && now < b.agentsExpectedUntil) {
 		b.retainTask(t)
@@ -235,6 +239,24 @@
 	b.assign(now, a, t, wait)
 }
 
+// placeWhereLive assigns a task to the agent that has reported another run of it as live.
+// The agent takes it once that run has ended. If the agent is gone, the end of the run is
+// uncertain and the job is given up.
+func (b *Broker) placeWhereLive(now time.Duration, t *task) {
+	a := t.liveAt
+	switch {
+	case b.agents[a.key] != a:
+		b.releaseTask(t)
+		b.close(now, t.job, Outcome{Kind: Unknown, Reason: "live-elsewhere"})
+	case now < t.liveRetryAt || !a.usable(now, b.settings.HeartbeatTimeout):
+		b.retainTask(t)
+	default:
+		b.releaseTask(t)
+		a.reserve(t)
+		b.assign(now, a, t, liveRetry)
+	}
+}
+
 // maxOffers is the number of rejected offers to agents that seemed to have free
 // capacity after which a task waits at one.
 const maxOffers = 4
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -18,6 +18,11 @@
 	// maxLinesPerSecond bounds the log lines of a process. An entry at a demand
 	// peak writes about 300 lines a second.
 	maxLinesPerSecond = 600
+	// maxOtherLinesPerSecond bounds the lines that are not about a job, so that those
+	// of many links that open and close at once leave room for decisions.
+	maxOtherLinesPerSecond = 150
+	// jobKey is the first attribute of a line about a job.
+	jobKey = "job"
 	// maxQueuedLines bounds the lines that wait for a slow reader of the output.
 	maxQueuedLines = 1024
 )
@@ -27,9 +32,10 @@
 // Log is an output of log lines.
 type Log struct {
 	mu sync.Mutex
-	// second is the Unix time of the second in which count lines were offered.
-	second int64
-	count  int
+	// second is the Unix time of the second in which count lines were offered, otherCount
+	// of them not about a job.
+	second            int64
+	count, otherCount int
 	// unreportedDrops is the number of lines dropped since the last report.
 	unreportedDrops int
 	lines           chan []byte
@@ -101,22 +107,35 @@
 
 // admit reports whether a line at time t is within the bound. The first call in
 // each second also returns the number of lines dropped since the last report.
-func (l *Log) admit(t time.Time) (ok bool, drops int) {
+func (l *Log) admit(t time.Time, aboutJob bool) (ok bool, drops int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := t.Unix(); s != l.second {
 		l.second = s
-		l.count = 0
+		l.count, l.otherCount = 0, 0
 		drops, l.unreportedDrops = l.unreportedDrops, 0
 	}
-	l.count++
-	if l.count > maxLinesPerSecond {
+	if !aboutJob {
+		l.otherCount++
+	}
+	if l.count >= maxLinesPerSecond || (!aboutJob && l.otherCount > maxOtherLinesPerSecond) {
 		l.drop()
 		return false, drops
 	}
+	l.count++
 	return true, drops
 }
 
+// aboutJob reports whether a line is about a job.
+func aboutJob(r slog.Record) bool {
+	found := false
+	r.Attrs(func(a slog.Attr) bool {
+		found = a.Key == jobKey
+		return false
+	})
+	return found
+}
+
 // limiter drops lines above the bound before they are formatted.
 type limiter struct {
 	slog.Handler
@@ -125,7 +144,7 @@
 
 // Handle implements slog.Handler.
 func (h *limiter) Handle(ctx context.Context, r slog.Record) error {
-	ok, drops := h.log.admit(r.Time)
+	ok, drops := h.log.admit(r.Time, aboutJob(r))
 	if drops > 0 {
 		note := slog.NewRecord(r.Time, slog.LevelWarn, "log lines dropped", 0)
 		note.AddAttrs(slog.Int("lines", drops))
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -78,3 +78,22 @@
 	}
 	log.Info("after the end")
 }
+
+// Guards against lines about links that push out those about jobs, as when hundreds of
+// links open and close after a pause.
+func TestLinesAboutJobsAreKept(t *testing.T) {
+	var buf bytes.Buffer
+	log, flush := New(&buf)
+	log = log.With("host", "h1")
+	const jobs = 100
+	for range 10 * maxLinesPerSecond {
+		log.Info("agent connected", "agent", "a1")
+	}
+	for range jobs {
+		log.Info("assign", "job", "j1")
+	}
+	flush()
+	if n := strings.Count(buf.String(), `"msg":"assign"`); n != jobs {
+		t.Errorf("%d of %d lines about jobs were written", n, jobs)
+	}
+}
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -165,6 +165,7 @@
 // serve opens one agent's link on an accepted connection and handles its messages
 // until it closes.
 func (e *Entry) serve(ctx context.Context, conn net.Conn) {
+	helloSentAt := e.now()
 	l, err := transport.AcceptTCP(conn, e.options.Process.hello(wire.RoleEntry))
 	if err != nil {
 		e.log.Warn("link not opened", "remote", conn.RemoteAddr().String(), "error", err.Error())
@@ -173,8 +174,23 @@
 	defer l.Close()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
+	helloReceivedAt := e.now()
+	first, err := l.Read()
+	if err != nil {
+		// The agent gave the link up while the entry was paused.
+		abandonedLinks.Inc()
+		return
+	}
+	beat, ok := first.(*wire.AgentBeat)
+	if !ok || l.Peer.Role != wire.RoleAgent {
+		e.log.Warn("link not opened", "remote", l.Remote(), "role", l.Peer.Role, "type", typeName(first))
+		return
+	}
 	id := broker.AgentID{Host: l.Peer.ID, Incarnation: l.Peer.Incarnation}
-	e.connected(id, l)
+	link := broker.Link{Agent: id, DataCentre: l.Peer.DataCentre, HelloSentAt: helloSentAt, HelloReceivedAt: helloReceivedAt, ClockMS: beat.ClockMS}
+	if !e.connected(link, l, *beat) {
+		return
+	}
 	for {
 		m, err := l.Read()
 		if err != nil {
@@ -185,15 +201,25 @@
 	}
 }
 
-func (e *Entry) connected(id broker.AgentID, l *transport.TCPLink) {
+// connected adds a link whose first heartbeat has arrived. It returns false if the
+// link is not used.
+func (e *Entry) connected(link broker.Link, l *transport.TCPLink, beat wire.AgentBeat) bool {
+	id := link.Agent
+	used := false
 	e.withCore(func(now time.Duration, core *broker.Broker) {
+		if used = core.Connected(now, link); !used {
+			return
+		}
 		if old := e.links[id]; old != nil {
 			old.Close()
 		}
 		e.links[id] = l
-		core.Connected(now, id, l.Peer.DataCentre)
+		core.Heartbeat(now, id, beat)
 	})
-	e.log.Info("agent connected", "agent", id.Host, "incarnation", id.Incarnation, "remote", l.Remote())
+	if used {
+		e.log.Info("agent connected", "agent", id.Host, "incarnation", id.Incarnation, "remote", l.Remote())
+	}
+	return used
 }
 
 func (e *Entry) disconnected(id broker.AgentID, l *transport.TCPLink, cause error) {
--- a/internal/leased/metrics.go
+++ b/internal/leased/metrics.go
@@ -10,6 +10,9 @@
 	responseTime = metrics.NewHistogram("damasklb_hosted_response_seconds")
 	queueTime    = metrics.NewHistogram("damasklb_hosted_queue_seconds")
 	startTime    = metrics.NewHistogram("damasklb_hosted_start_call_seconds")
+
+	// abandonedLinks counts the links that were closed before their first heartbeat.
+	abandonedLinks = metrics.NewCounter("damasklb_hosted_links_abandoned_total")
 )
 
 func outcomeCounter(outcome string) *metrics.Counter {
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -22,6 +22,9 @@
 	maxLease    = time.Second
 	stopGrace   = 50 * time.Millisecond
 	linkTimeout = 300 * time.Millisecond
+	// helloTimeout is the time without the entry's Hello after which an agent dials
+	// again.
+	helloTimeout = 400 * time.Millisecond
 	// announceInterval is the time between two announcements of an upstream, whatever
 	// its agent does.
 	announceInterval = 1500 * time.Millisecond
@@ -83,6 +86,8 @@
 	sentAt       time.Duration
 	responseTime time.Duration
 	outcome      broker.OutcomeKind
+	// fitted is whether all tasks fitted on the upstreams when the job was sent.
+	fitted bool
 }
 
 func newWorld(seed int64, entries, agents int) *world {
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -148,7 +148,7 @@
 	a := r.attempts[m.Attempt]
 	switch {
 	case a != nil && a.entry != id:
-		r.reportReplaced(id, m.Attempt)
+		r.reportReplaced(id, a)
 	case a == nil:
 		// The Assign may still arrive on an older link: make sure that it starts
 		// nothing.
@@ -176,7 +176,7 @@
 		case a == nil:
 			r.Withdraw(now, id, wire.Withdraw{Attempt: ref})
 		case a.entry != id:
-			r.reportReplaced(id, ref)
+			r.reportReplaced(id, a)
 		default:
 			r.report(a)
 		}
@@ -188,10 +188,15 @@
 	}
 }
 
-// reportReplaced reports to an entry that its attempt has ended: another entry's
-// attempt with the same number has replaced it, which happens only after the end.
-func (r *Runner) reportReplaced(id EntryID, ref wire.LeasedAttempt) {
-	r.emit(Report{Entry: id, Attempt: ref, State: wire.RunNotStarted, Reason: "replaced"})
+// reportReplaced answers an entry that asks for an attempt whose number another entry's
+// attempt has. While that one is live, the asker's was refused for it. Afterwards the
+// asker's may have run and ended before its record was replaced.
+func (r *Runner) reportReplaced(id EntryID, present *attempt) {
+	m := Report{Entry: id, Attempt: present.id, State: wire.RunStopped, Reason: "replaced"}
+	if !present.state.Final() {
+		m.State, m.Reason = wire.RunNotStarted, reasonLive
+	}
+	r.emit(m)
 }
 
 // startWaiting starts waiting tasks in the queue's order while they fit.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -530,3 +530,26 @@
 		}
 	})
 }
+
+// Guards against an attempt that is reported as not started although it may have run: its
+// record was replaced by that of another entry's attempt with the same number.
+func TestReplacedAttemptMayHaveRun(t *testing.T) {
+	r := newReady(t)
+	r.Connected(begin, entryB)
+	assign(r, begin, entryA, "j1", nil)
+	r.ListReceived(begin+time.Second, RunList{RequestedAt: begin + time.Second, ClockMS: 1500, StartMS: incarnation.StartMS,
+		Ended: []EndedRun{{Number: 1, Attempt: attemptOf("j1", 1), Kind: EndDone}}})
+	assign(r, begin+time.Second, entryB, "j1", nil)
+	r.TakeEffects()
+	r.Resume(begin+time.Second, entryA, wire.Resume{Attempts: []wire.LeasedAttempt{attemptOf("j1", 1)}})
+	if got := lastReport(t, r); got.Entry != entryA || got.State != wire.RunNotStarted || got.Reason != reasonLive {
+		t.Errorf("report while the other entry's attempt is live: %+v", got)
+	}
+	r.ListReceived(begin+2*time.Second, RunList{RequestedAt: begin + 2*time.Second, ClockMS: 2500, StartMS: incarnation.StartMS,
+		Ended: []EndedRun{{Number: 2, Attempt: attemptOf("j1", 1), Kind: EndDone}}})
+	r.TakeEffects()
+	r.Withdraw(begin+2*time.Second, entryA, wire.Withdraw{Attempt: attemptOf("j1", 1)})
+	if got := lastReport(t, r); got.Entry != entryA || got.State != wire.RunStopped {
+		t.Errorf("report after its end: %+v", got)
+	}
+}
