Bound the links of an agent and make heartbeats cost constant work

Cause: at 55 entries and 240 agents each agent sent each entry a heartbeat every 100 ms and got an answer, 132,000 a second and as many answers, and each heartbeat walked all agents. Ruled out: a longer interval alone, which leaves the product of entries and agents and slows the detection of silence. Change: package linkplan chooses 18 reachable entries for each agent, half of them in its data centre, by rendezvous hashing; up to 18 entries every agent has a link to every entry, as before. Links that are no longer wanted are closed once their tasks have ended. Heartbeats to entries without tasks are sent every 200 ms. An agent that does not react to an Assign within 60 ms gets no further tasks, so silence is found sooner than by heartbeats where tasks are sent. Nothing walks all agents on a heartbeat any more.

--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -34,14 +34,18 @@
 }
 
 type unreportedAssign struct {
-	seq      uint64
+	seq uint64
+	// at is when it was sent.
+	at       time.Duration
 	cpu, mem int
 	workMS   int
 }
 
 // usable reports whether the agent may get tasks.
-func (a *agent) usable(now, heartbeatTimeout time.Duration) bool {
-	return a.connected && now-a.heartbeatAt <= heartbeatTimeout && a.load.Ready && !a.load.Draining && now >= a.avoidUntil
+func (a *agent) usable(now time.Duration, s *Settings) bool {
+	return a.connected && a.load.Ready && !a.load.Draining && now >= a.avoidUntil &&
+		now-a.heartbeatAt <= s.HeartbeatTimeout &&
+		(len(a.unreported) == 0 || now-a.unreported[0].at <= s.ReactionTimeout)
 }
 
 // dropReported drops the assignments that the load includes.
@@ -133,7 +137,7 @@
 	if a == nil || a.id != id {
 		return
 	}
-	if m.Load.Ready && b.UsableAgents(now) == 0 {
+	if m.Load.Ready && !b.HasUsableAgent(now) {
 		b.agentsExpectedUntil = now + agentArrivalWindow
 	}
 	a.heartbeatAt = now
@@ -205,22 +209,28 @@
 		a.key = a.id.Host + "/" + a.id.Incarnation
 		b.agents[a.key] = a
 		b.agentList = append(b.agentList, a)
+		b.retained[a.id.Host] = append(b.retained[a.id.Host], a)
 	}
 }
 
 func (b *Broker) removeAgent(a *agent) {
 	delete(b.agents, a.key)
-	b.agentList = slices.DeleteFunc(b.agentList, func(o *agent) bool { return o == a })
+	same := func(o *agent) bool { return o == a }
+	b.agentList = slices.DeleteFunc(b.agentList, same)
+	if a.key == a.id.Host {
+		return
+	}
+	if b.retained[a.id.Host] = slices.DeleteFunc(b.retained[a.id.Host], same); len(b.retained[a.id.Host]) == 0 {
+		delete(b.retained, a.id.Host)
+	}
 }
 
 // expireRetainedTasks gives up the tasks of earlier agent processes on a host. The
 // present one is ready, so it has found that none of their runs is left.
 func (b *Broker) expireRetainedTasks(now time.Duration, host string) {
-	for _, a := range slices.Clone(b.agentList) {
-		if a.id.Host == host && a.key != host {
-			b.removeAgent(a)
-			b.loseTasks(now, a, "agent-restarted", false)
-		}
+	for _, a := range slices.Clone(b.retained[host]) {
+		b.removeAgent(a)
+		b.loseTasks(now, a, "agent-restarted", false)
 	}
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/catalog"
@@ -25,6 +26,9 @@
 	// HeartbeatTimeout is the age of an agent's last heartbeat above which the agent
 	// gets no tasks.
 	HeartbeatTimeout time.Duration
+	// ReactionTimeout is the time without a reaction to a sent Assign after which the
+	// agent gets no further tasks. Agents react within a few milliseconds.
+	ReactionTimeout time.Duration
 	// RunsEndedAfter is the time after the last message to an unreachable agent by
 	// which its runs have certainly ended: the agent stops them or their lease
 	// expires.
@@ -44,7 +48,8 @@
 		DataCentre:       dataCentre,
 		Distance:         1500 * time.Microsecond,
 		FarRackFactor:    1.5,
-		HeartbeatTimeout: 300 * time.Millisecond,
+		HeartbeatTimeout: 420 * time.Millisecond,
+		ReactionTimeout:  60 * time.Millisecond,
 		RunsEndedAfter:   endedAfter,
 		AnswerRetention:  6 * time.Second,
 		ResumeDelay:      30 * time.Millisecond,
@@ -93,7 +98,10 @@
 	// agentList holds the agents in the order of their arrival, which makes the
 	// broker deterministic.
 	agentList []*agent
-	stats     map[string]*queueStats
+	// retained holds, by host, the agent processes that have ended and whose tasks may
+	// still run. They are in agentList as well.
+	retained map[string][]*agent
+	stats    map[string]*queueStats
 	// unplaced holds the tasks that wait for an agent that can take them.
 	unplaced []*task
 
@@ -128,6 +136,7 @@
 		jobs:     map[string]*job{},
 		answers:  map[string]answer{},
 		agents:   map[string]*agent{},
+		retained: map[string][]*agent{},
 		stats:    map[string]*queueStats{},
 	}
 }
@@ -160,13 +169,18 @@
 func (b *Broker) UsableAgents(now time.Duration) int {
 	n := 0
 	for _, a := range b.agentList {
-		if a.usable(now, b.settings.HeartbeatTimeout) {
+		if a.usable(now, &b.settings) {
 			n++
 		}
 	}
 	return n
 }
 
+// HasUsableAgent reports whether any agent may get tasks.
+func (b *Broker) HasUsableAgent(now time.Duration) bool {
+	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.usable(now, &b.settings) })
+}
+
 // State returns the state of a job for its caller, and whether there is one.
 func (b *Broker) State(id string) (State, bool) {
 	if j := b.jobs[id]; j != nil && !j.closing {
@@ -207,7 +221,7 @@
 	b.retryWithdrawals(now)
 	b.moveWaiting(now)
 	b.reassignStuck(now)
-	if b.UsableAgents(now) > 0 {
+	if b.HasUsableAgent(now) {
 		b.lastUsableAt = now
 	}
 	b.placeUnplaced(now)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -404,6 +404,11 @@
 	if n := len(messages[wire.Assign](g.takeEffects())); n != 4 {
 		t.Errorf("%d tasks assigned, want 4", n)
 	}
+	for _, host := range []string{"a1", "a2"} {
+		l := load(2000)
+		l.LastSeq = 2
+		g.heartbeat(host, l)
+	}
 	g.now += 2 * agentArrivalWindow
 	g.submit("j2", 2, 4)
 	if got := answers(g.takeEffects()); len(got) != 1 || got[0].Outcome.Reason != "overload" {
--- a/internal/broker/links_test.go
+++ b/internal/broker/links_test.go
@@ -88,6 +88,29 @@
 	}
 }
 
+// Guards against tasks that are sent to an agent that has stopped reacting while its last
+// heartbeat is still recent, and against giving up one that only has many tasks.
+func TestAgentWithoutReactionGetsNoTasks(t *testing.T) {
+	g := newRig(t, "a", "b")
+	g.submit("j1", 1, 1)
+	first := messages[wire.Assign](g.takeEffects())[0]
+	g.now += g.b.settings.ReactionTimeout + time.Millisecond
+	g.submit("j2", 2, 2)
+	for _, a := range messages[wire.Assign](g.takeEffects()) {
+		if a.agent == first.agent {
+			t.Fatal("a task was sent to an agent that does not react")
+		}
+	}
+	// A report shows that the agent has received the first task.
+	l := load(6000)
+	l.LastSeq = first.message.Seq
+	g.heartbeat(first.agent.Host, l)
+	g.submit("j3", 3, 1)
+	if got := messages[wire.Assign](g.takeEffects()); len(got) != 1 || got[0].agent != first.agent {
+		t.Errorf("assigned %v, want the agent that reacts again", got)
+	}
+}
+
 // Guards against a refusal as not run after a pause of the entry: the agent has run the
 // task, ended it as its entry was silent, and dropped the record.
 func TestJobMayHaveRunDuringAPause(t *testing.T) {
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -163,7 +163,7 @@
 // chooseAgent returns the agent where the task is expected to end first, or nil.
 func (b *Broker) chooseAgent(now time.Duration, t *task) (best *agent, score, wait time.Duration) {
 	for _, a := range b.agentList {
-		if !a.usable(now, b.settings.HeartbeatTimeout) || !a.serves(t) || a.atJobLimit(t) {
+		if !a.usable(now, &b.settings) || !a.serves(t) || a.atJobLimit(t) {
 			continue
 		}
 		s, w := b.score(a, t)
@@ -189,7 +189,7 @@
 		a, _, wait := b.chooseAgent(now, t)
 		placements[i] = placement{task: t, agent: a, wait: wait}
 		if a != nil {
-			a.reserve(t)
+			a.reserve(now, t)
 		}
 	}
 	return placements
@@ -207,10 +207,10 @@
 
 // reserve counts a task against the agent's free capacity until a report includes
 // it.
-func (a *agent) reserve(t *task) {
+func (a *agent) reserve(now time.Duration, t *task) {
 	a.seq++
 	t.seq = a.seq
-	a.unreported = append(a.unreported, unreportedAssign{seq: a.seq, cpu: t.spec.CPU, mem: t.spec.MemMB,
+	a.unreported = append(a.unreported, unreportedAssign{seq: a.seq, at: now, cpu: t.spec.CPU, mem: t.spec.MemMB,
 		workMS: t.spec.CPU * int(t.expected/time.Millisecond) / max(a.load.CapacityCPU, 1)})
 }
 
@@ -235,7 +235,7 @@
 		b.close(now, t.job, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.retryAfter(t.job)})
 		return
 	}
-	a.reserve(t)
+	a.reserve(now, t)
 	b.assign(now, a, t, wait)
 }
 
@@ -248,11 +248,11 @@
 	case b.agents[a.key] != a:
 		b.releaseTask(t)
 		b.close(now, t.job, Outcome{Kind: Unknown, Reason: "live-elsewhere"})
-	case now < t.liveRetryAt || !a.usable(now, b.settings.HeartbeatTimeout):
+	case now < t.liveRetryAt || !a.usable(now, &b.settings):
 		b.retainTask(t)
 	default:
 		b.releaseTask(t)
-		a.reserve(t)
+		a.reserve(now, t)
 		b.assign(now, a, t, liveRetry)
 	}
 }
@@ -307,7 +307,7 @@
 		return
 	}
 	here, _ := b.score(a, t)
-	if here-score < minMoveGain && a.usable(now, b.settings.HeartbeatTimeout) {
+	if here-score < minMoveGain && a.usable(now, &b.settings) {
 		return
 	}
 	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "withdraw", Reason: "moved",
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/boottime"
+	"github.com/damasklb/damasklb/internal/linkplan"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/transport"
@@ -49,11 +50,9 @@
 	mu    sync.Mutex // guards the fields below
 	core  *runner.Runner
 	links map[runner.EntryID]*link
-	// dials holds, for each address to which a link is maintained, the function
-	// that stops the dialling. addressByHost holds the addresses of the entries in
-	// the hosts table.
-	dials         map[string]context.CancelFunc
-	addressByHost map[string]string
+	// dials holds the addresses to which links are maintained, plan the choice of them.
+	dials map[string]*dial
+	plan  *linkplan.Plan
 	// startCalls are the start commands without an answer so far.
 	startCalls map[wire.LeasedAttempt]*startCall
 	// notify has an element when the agent may have to ask the upstream for its
@@ -68,7 +67,10 @@
 // link is an open link to an entry.
 type link struct {
 	tcp        *transport.TCPLink
+	address    string
 	lastAnswer time.Duration
+	// lastHeartbeat is when the last heartbeat was sent.
+	lastHeartbeat time.Duration
 }
 
 // startCall is a start command without an answer so far.
@@ -87,17 +89,17 @@
 		clockZero:     boottime.Now() - time.Hour,
 		core:          runner.New(o.Runner),
 		links:         map[runner.EntryID]*link{},
-		dials:         map[string]context.CancelFunc{},
-		addressByHost: map[string]string{},
+		dials:         map[string]*dial{},
+		plan:          linkplan.New(o.Process.Host, o.Process.DataCentre, o.Seeds),
 		startCalls:    map[wire.LeasedAttempt]*startCall{},
 		notify:        make(chan struct{}, 1),
 		announcements: newAnnouncementStore(o.Store, o.Process.Host, o.Log),
 		upstreamDep:   newDependency("upstream", o.Log),
 	}
 	a.core.SetToken(o.Token)
-	for _, seed := range o.Seeds {
-		a.dial(seed)
-	}
+	a.mu.Lock()
+	a.applyPlan()
+	a.mu.Unlock()
 	a.spawn(func() { follow(ctx, o.Store, hostsTable, hostsWait, o.Log, a.hostsChanged) })
 	a.spawn(func() { a.announcements.run(ctx, a.restore) })
 	a.spawn(a.tick)
@@ -148,7 +150,7 @@
 		a.logDecision(m)
 	case runner.ReadyChanged:
 		a.log.Info("readiness changed", "ready", m.Ready)
-		a.sendHeartbeats(now)
+		a.sendHeartbeats(now, true)
 	case runner.Restored:
 		a.log.Info("upstream restored from the store", "instance", m.ID, "born", m.StartMS, "draining", m.Draining)
 	case runner.UpstreamRestarted:
@@ -197,7 +199,7 @@
 func (a *Agent) tick() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var lastHeartbeat time.Duration
+	var lastCheck time.Duration
 	for {
 		select {
 		case <-a.ctx.Done():
@@ -209,23 +211,37 @@
 			if core.ListDue(now) {
 				a.notifyListLoop()
 			}
-			if now-lastHeartbeat >= heartbeatInterval {
-				lastHeartbeat = now
-				a.sendHeartbeats(now)
+			if now-lastCheck >= heartbeatCheckInterval {
+				lastCheck = now
+				a.sendHeartbeats(now, false)
+				a.closeReleased(now)
 			}
 		})
 	}
 }
 
-// sendHeartbeats sends a heartbeat on each link and closes links that are silent.
-func (a *Agent) sendHeartbeats(now time.Duration) {
+// sendHeartbeats sends the heartbeats that are due, or all of them, and closes links that
+// are silent.
+func (a *Agent) sendHeartbeats(now time.Duration, all bool) {
+	load := a.core.Load(now, runner.EntryID{})
 	for id, l := range a.links {
-		if now-l.lastAnswer > maxLinkSilence {
+		interval := a.core.HeartbeatInterval(now, id)
+		if now-l.lastAnswer > interval+maxAnswerDelay {
 			a.log.Warn("link is silent; closing it", "entry", id.Host, "for_ms", (now - l.lastAnswer).Milliseconds())
 			l.tcp.Close()
 			continue
 		}
-		a.send(id, l, &wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: a.core.Load(now, id)})
+		// Checks are not exactly heartbeatCheckInterval apart.
+		if !all && now-l.lastHeartbeat < interval-heartbeatCheckInterval/2 {
+			continue
+		}
+		l.lastHeartbeat = now
+		beat := wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: load}
+		beat.Load.LastSeq = a.core.LastSeq(id)
+		if d := a.dials[l.address]; d != nil && d.releasing {
+			beat.Load.Ready = false
+		}
+		a.send(id, l, &beat)
 	}
 }
 
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -20,9 +20,8 @@
 	// shortest time that a core waits for, which is the age from which a waiting
 	// task may be moved.
 	tickInterval = 20 * time.Millisecond
-	// heartbeatInterval is the interval of agents' heartbeats. Three in a row may
-	// be lost before an agent counts as silent.
-	heartbeatInterval = 100 * time.Millisecond
+	// heartbeatCheckInterval is how often an agent checks which heartbeats are due.
+	heartbeatCheckInterval = 100 * time.Millisecond
 	// pauseThreshold is the time between two ticks above which the process counts
 	// as having been paused.
 	pauseThreshold = 350 * time.Millisecond
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/platform"
@@ -11,21 +13,42 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// The agent maintains one link to each entry in the hosts table, and to the seeds.
+// The agent maintains one link to each of the entries that package linkplan chooses from
+// the hosts table.
 const (
 	// redialPause is the pause before the first retry after a failed dial.
 	redialPause = 60 * time.Millisecond
 	// redialMax bounds the pause, which doubles with each failure.
 	redialMax = 250 * time.Millisecond
-	// maxLinkSilence is the age of the last answer from an entry above which its
-	// link is replaced. The new link has to be up before the entry counts as silent.
-	maxLinkSilence = 300 * time.Millisecond
+	// maxAnswerDelay is added to the interval of heartbeats for the age of the last
+	// message from an entry above which its link is replaced. The new link has to be up
+	// before the entry counts as silent.
+	maxAnswerDelay = 200 * time.Millisecond
 )
 
+// dial is an address to which a link is maintained.
+type dial struct {
+	cancel context.CancelFunc
+	// releasing is set once the link is no longer wanted, since releasedAt. The entry
+	// is told that it gets no more tasks, and the link closes when its tasks have ended.
+	releasing  bool
+	releasedAt time.Duration
+}
+
+// releaseDelay is the time from the notice that a link is no longer wanted until it may
+// close. Tasks that the entry has sent before the notice arrive within it.
+const releaseDelay = time.Second
+
 func (a *Agent) hostsChanged(rows []platform.Change, all bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	seen := map[string]bool{}
 	for _, r := range rows {
-		host := r.Key[len(hostsTable)+1:]
+		host, ok := strings.CutPrefix(r.Key, hostsTable+"/")
+		if !ok {
+			a.log.Warn("invalid host row", "key", r.Key, "row_version", r.Version)
+			continue
+		}
 		seen[host] = true
 		if r.Deleted {
 			a.removeEntry(host)
@@ -36,59 +59,67 @@
 			a.log.Warn("invalid host row", "key", r.Key, "row_version", r.Version)
 			continue
 		}
-		a.mu.Lock()
-		old := a.addressByHost[host]
-		a.addressByHost[host] = row.Address
-		a.mu.Unlock()
-		if old != "" && old != row.Address {
-			a.stopDialling(old)
-		}
+		a.plan.Set(host, row.Address, row.DataCentre)
 		a.log.Info("entry found", "entry", host, "address", row.Address, "row_version", r.Version)
-		a.dial(row.Address)
 	}
-	if !all {
-		return
+	if all {
+		for _, host := range a.plan.Hosts() {
+			if !seen[host] {
+				a.removeEntry(host)
+			}
+		}
 	}
-	a.mu.Lock()
-	var removed []string
-	for host := range a.addressByHost {
-		if !seen[host] {
-			removed = append(removed, host)
+	a.applyPlan()
+}
+
+func (a *Agent) removeEntry(host string) {
+	a.plan.Remove(host)
+	a.log.Info("entry removed", "entry", host)
+}
+
+// applyPlan starts links to the planned addresses and releases the others.
+func (a *Agent) applyPlan() {
+	now := a.now()
+	wanted := a.plan.Addresses(now)
+	for _, address := range wanted {
+		if d := a.dials[address]; d != nil {
+			d.releasing = false
+			continue
 		}
+		a.dial(address)
 	}
-	a.mu.Unlock()
-	for _, host := range removed {
-		a.removeEntry(host)
+	for address, d := range a.dials {
+		if !d.releasing && !slices.Contains(wanted, address) {
+			d.releasing, d.releasedAt = true, now
+			a.log.Info("link is no longer wanted", "address", address)
+		}
 	}
 }
 
-func (a *Agent) removeEntry(host string) {
-	a.mu.Lock()
-	address := a.addressByHost[host]
-	delete(a.addressByHost, host)
-	a.mu.Unlock()
-	a.log.Info("entry removed", "entry", host, "address", address)
-	a.stopDialling(address)
+// closeReleased closes the links that are no longer wanted and have no tasks left.
+func (a *Agent) closeReleased(now time.Duration) {
+	for address, d := range a.dials {
+		if d.releasing && now-d.releasedAt >= releaseDelay && !a.hasTasksOf(address) {
+			d.cancel()
+			delete(a.dials, address)
+		}
+	}
 }
 
-func (a *Agent) stopDialling(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if cancel := a.dials[address]; cancel != nil {
-		cancel()
-		delete(a.dials, address)
+// hasTasksOf reports whether tasks of the entry at the address wait or run.
+func (a *Agent) hasTasksOf(address string) bool {
+	for id, l := range a.links {
+		if l.address == address && a.core.HasTasksOf(id) {
+			return true
+		}
 	}
+	return false
 }
 
 // dial starts to maintain a link to an address.
 func (a *Agent) dial(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.dials[address] != nil {
-		return
-	}
 	ctx, cancel := context.WithCancel(a.ctx)
-	a.dials[address] = cancel
+	a.dials[address] = &dial{cancel: cancel}
 	a.spawn(func() { a.maintainLink(ctx, address) })
 }
 
@@ -100,29 +131,39 @@
 			if tcp != nil {
 				tcp.Close()
 			}
+			a.dialFailed(address)
 			sleep(ctx, pause)
 			pause = min(2*pause, redialMax)
 			continue
 		}
 		pause = redialPause
-		a.serve(ctx, tcp)
+		a.serve(ctx, address, tcp)
 	}
 }
 
+func (a *Agent) dialFailed(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.plan.DialFailed(a.now(), address)
+	a.applyPlan()
+}
+
 // serve handles the messages of one entry's link until it closes.
-func (a *Agent) serve(ctx context.Context, tcp *transport.TCPLink) {
+func (a *Agent) serve(ctx context.Context, address string, tcp *transport.TCPLink) {
 	defer tcp.Close()
 	stop := context.AfterFunc(ctx, tcp.Close)
 	defer stop()
 	id := runner.EntryID{Host: tcp.Peer.ID, Incarnation: tcp.Peer.Incarnation}
-	l := &link{tcp: tcp}
+	l := &link{tcp: tcp, address: address}
 	a.withCore(func(now time.Duration, core *runner.Runner) {
 		if old := a.links[id]; old != nil {
 			old.tcp.Close()
 		}
-		l.lastAnswer = now
+		l.lastAnswer, l.lastHeartbeat = now, now
 		a.links[id] = l
 		core.Connected(now, id)
+		a.plan.Linked(address)
+		a.applyPlan()
 		a.send(id, l, &wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: core.Load(now, id)})
 	})
 	a.log.Info("entry connected", "entry", id.Host, "incarnation", id.Incarnation, "address", tcp.Remote())
@@ -152,9 +193,9 @@
 		if a.links[id] != l {
 			return
 		}
+		l.lastAnswer = now
 		switch m := m.(type) {
 		case *wire.EntryBeat:
-			l.lastAnswer = now
 			core.Confirm(id, time.Duration(m.EchoMS)*time.Millisecond)
 		case *wire.Assign:
 			core.Assign(now, id, *m)
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -79,6 +79,7 @@
 func (r *Runner) Assign(now time.Duration, id EntryID, m wire.Assign) {
 	s := r.entry(id)
 	s.lastSeq = max(s.lastSeq, m.Seq)
+	s.lastAssignAt = now
 	echo := time.Duration(m.EchoMS) * time.Millisecond
 	a := &attempt{
 		id: m.Attempt, entry: id, assign: m, state: wire.RunWaiting, queueIndex: -1,
@@ -113,6 +114,10 @@
 	r.liveByTask[a.id.Task] = a
 	r.queue.push(a)
 	r.startWaiting(now)
+	if a.phase == phaseWaiting {
+		// The entry takes an agent that does not react to an Assign for unreachable.
+		r.report(a)
+	}
 }
 
 // reasonLive is the reason for refusing a task that has another live attempt.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -100,8 +100,9 @@
 	// confirmedAt is the latest agent time that the entry has echoed.
 	confirmedAt time.Duration
 	connected   bool
-	// lastSeq is the sequence number of the last Assign.
-	lastSeq uint64
+	// lastSeq is the sequence number of the last Assign, lastAssignAt when it came.
+	lastSeq      uint64
+	lastAssignAt time.Duration
 }
 
 // Runner is the state machine. It is not safe for concurrent use.
@@ -336,10 +337,7 @@
 
 // Load returns the upstream's load for an entry.
 func (r *Runner) Load(now time.Duration, id EntryID) wire.Load {
-	l := wire.Load{Ready: r.ready()}
-	if s := r.entries[id]; s != nil {
-		l.LastSeq = s.lastSeq
-	}
+	l := wire.Load{Ready: r.ready(), LastSeq: r.LastSeq(id)}
 	if r.upstream == nil {
 		return l
 	}
@@ -360,6 +358,41 @@
 	return l
 }
 
+// LastSeq returns the sequence number of the entry's last Assign.
+func (r *Runner) LastSeq(id EntryID) uint64 {
+	if s := r.entries[id]; s != nil {
+		return s.lastSeq
+	}
+	return 0
+}
+
+const (
+	// heartbeatInterval is the time between two heartbeats to an entry with tasks here.
+	// Each confirms the runs; four may be lost before ConfirmationTimeout.
+	heartbeatInterval = 100 * time.Millisecond
+	// idleHeartbeatInterval is the time between two heartbeats to other entries. Their
+	// next Assign carries the clock of the last heartbeat, which must be younger than
+	// ConfirmationTimeout.
+	idleHeartbeatInterval = 200 * time.Millisecond
+	// busyAfterAssign is the time after an Assign for which its entry counts as one with
+	// tasks here, because it is likely to send more.
+	busyAfterAssign = time.Second
+)
+
+// HeartbeatInterval returns the time between two heartbeats to an entry.
+func (r *Runner) HeartbeatInterval(now time.Duration, id EntryID) time.Duration {
+	s := r.entries[id]
+	if s != nil && s.lastAssignAt > 0 && now-s.lastAssignAt < busyAfterAssign || r.HasTasksOf(id) {
+		return heartbeatInterval
+	}
+	return idleHeartbeatInterval
+}
+
+// HasTasksOf reports whether tasks of the entry wait or run.
+func (r *Runner) HasTasksOf(id EntryID) bool {
+	return slices.ContainsFunc(r.active, func(a *attempt) bool { return a.entry == id })
+}
+
 // busyPercent returns the share of the cores that runs of each priority use, in
 // percent.
 func (r *Runner) busyPercent() [wire.PriorityLevels]uint8 {
