--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -247,21 +247,52 @@
 
 // Announce handles a heartbeat of the upstream.
 func (a *Agent) Announce(u runner.Announcement, clockMS int64) {
+	var stored <-chan struct{}
 	a.withCore(func(now time.Duration, core *runner.Runner) {
 		if core.Announce(now, u) {
 			core.HeartbeatClock(now, clockMS)
-			a.announcements.save(u)
+			stored = a.announcements.save(u)
 		} else {
 			a.log.Info("old heartbeat ignored", "instance", u.ID, "born", u.StartMS, "seq", u.Seq)
 		}
 	})
 	a.notifyListLoop()
+	if u.Draining {
+		a.awaitStored(stored)
+	}
 }
 
 // UpstreamLeaving handles the upstream's message that it leaves.
 func (a *Agent) UpstreamLeaving(id string) {
 	a.log.Info("upstream leaves", "instance", id)
-	a.withCore(func(now time.Duration, core *runner.Runner) { core.UpstreamLeaving(now, id) })
+	var stored <-chan struct{}
+	a.withCore(func(now time.Duration, core *runner.Runner) {
+		if left, ok := core.UpstreamLeaving(now, id); ok {
+			stored = a.announcements.save(left)
+		}
+	})
+	a.awaitStored(stored)
+}
+
+// leaveStoreTimeout bounds the wait until the store has the notice that an upstream
+// leaves. The upstream gives up on an acknowledgement after a second.
+const leaveStoreTimeout = 300 * time.Millisecond
+
+// awaitStored waits until an announcement is stored, so that a next process of the agent
+// does not use an upstream whose notice that it leaves has been acknowledged. While the
+// store is out of reach, the notice is acknowledged without it.
+func (a *Agent) awaitStored(stored <-chan struct{}) {
+	if stored == nil {
+		return
+	}
+	timer := time.NewTimer(leaveStoreTimeout)
+	defer timer.Stop()
+	select {
+	case <-stored:
+	case <-timer.C:
+		a.log.Warn("leave of the upstream not stored in time", "after_ms", leaveStoreTimeout.Milliseconds())
+	case <-a.ctx.Done():
+	}
 }
 
 // restore uses the announcement that the upstream sent to an earlier process of
--- a/internal/leased/announcements.go
+++ b/internal/leased/announcements.go
@@ -39,8 +39,10 @@
 	dep    *dependency
 	notify chan struct{}
 
-	mu     sync.Mutex // guards the field below
+	mu     sync.Mutex // guards the fields below
 	latest []byte
+	// waiting are closed when the row holds the latest announcement.
+	waiting []chan struct{}
 }
 
 func newAnnouncementStore(store platform.Feed, host string, log *slog.Logger) *announcementStore {
@@ -48,8 +50,9 @@
 		dep: newDependency("store-"+upstreamsTable, log), notify: make(chan struct{}, 1)}
 }
 
-// save makes run write an announcement. It does not block.
-func (s *announcementStore) save(a runner.Announcement) {
+// save makes run write an announcement. It does not block. The channel that it returns is
+// closed once the row holds this announcement or a later one.
+func (s *announcementStore) save(a runner.Announcement) <-chan struct{} {
 	value, err := json.Marshal(upstreamRow{ID: a.ID, StartMS: a.StartMS, Service: a.Service, CPU: a.CPU, MemMB: a.MemMB,
 		Labels: a.Labels, Draining: a.Draining})
 	if err != nil {
@@ -57,13 +60,31 @@
 		// encoded.
 		panic(err)
 	}
+	stored := make(chan struct{})
 	s.mu.Lock()
 	s.latest = value
+	s.waiting = append(s.waiting, stored)
 	s.mu.Unlock()
 	select {
 	case s.notify <- struct{}{}:
 	default:
 	}
+	return stored
+}
+
+// pending returns the latest announcement if the row differs from it. Otherwise it
+// releases those that wait for the row.
+func (s *announcementStore) pending(stored []byte) (latest []byte, differs bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !bytes.Equal(s.latest, stored) {
+		return s.latest, true
+	}
+	for _, w := range s.waiting {
+		close(w)
+	}
+	s.waiting = nil
+	return nil, false
 }
 
 // run reads the row, passes it to restore, and then writes it whenever it changes.
@@ -82,10 +103,8 @@
 		case <-s.notify:
 		}
 		for {
-			s.mu.Lock()
-			latest := s.latest
-			s.mu.Unlock()
-			if bytes.Equal(latest, stored) {
+			latest, differs := s.pending(stored)
+			if !differs {
 				break
 			}
 			// The condition on the version keeps a delayed write from replacing a
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -418,3 +418,37 @@
 		t.Error("ready with an upstream that is draining")
 	}
 }
+
+// Guards against a leaving upstream that a restarted agent uses again: the notice was
+// acknowledged before the store had it, and the agent was killed.
+func TestAcknowledgedLeaveIsStored(t *testing.T) {
+	announcement := runner.Announcement{UpstreamID: runner.UpstreamID{ID: "u", StartMS: 7}, Service: "s", CPU: 10_000, MemMB: 100, Seq: 1}
+	for name, leave := range map[string]func(*Agent){
+		"draining heartbeat": func(a *Agent) {
+			draining := announcement
+			draining.Draining, draining.Seq = true, 2
+			a.Announce(draining, 2000)
+		},
+		"leave": func(a *Agent) { a.UpstreamLeaving("u") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &feed{}
+			a := StartAgent(AgentOptions{
+				Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
+				Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: f,
+				Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
+			})
+			defer a.Stop()
+			a.Announce(announcement, 1000)
+			leave(a)
+			stored, err := f.Get(context.Background(), "upstreams/a1")
+			var row upstreamRow
+			if err == nil {
+				err = json.Unmarshal(stored.Value, &row)
+			}
+			if err != nil || !row.Draining {
+				t.Errorf("acknowledged with the row %q (%v)", stored.Value, err)
+			}
+		})
+	}
+}
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -140,6 +140,8 @@
 		return "not-ready"
 	case r.upstream.Service != m.Service:
 		return "other-service"
+	case m.CPU < 0 || m.MemMB < 0:
+		return "invalid-size"
 	case m.CPU > r.upstream.CPU || m.MemMB > r.upstream.MemMB:
 		return "too-large"
 	case r.liveByTask[m.Attempt.Task] != nil:
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -189,13 +189,15 @@
 }
 
 // UpstreamLeaving handles the upstream's notice that it is leaving: waiting tasks are
-// dropped and no more are taken.
-func (r *Runner) UpstreamLeaving(now time.Duration, id string) {
+// dropped and no more are taken. It returns the upstream's announcement with that change,
+// and whether the notice is for the present upstream.
+func (r *Runner) UpstreamLeaving(now time.Duration, id string) (Announcement, bool) {
 	if r.upstream == nil || r.upstream.ID != id {
-		return
+		return Announcement{}, false
 	}
 	r.dropWaiting(now, "departed")
 	r.upstream.Draining = true
+	return *r.upstream, true
 }
 
 // Drain makes the runner refuse new tasks, as the agent shuts down. Running tasks
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -553,3 +553,15 @@
 		t.Errorf("report after its end: %+v", got)
 	}
 }
+
+// Guards against capacity that grows by tasks with a negative size.
+func TestNegativeSizeIsRefused(t *testing.T) {
+	r := newReady(t)
+	assign(r, begin, entryA, "j1", func(m *wire.Assign) { m.CPU = -4000 })
+	if got := lastReport(t, r); got.State != wire.RunNotStarted {
+		t.Errorf("report %+v", got)
+	}
+	if l := r.Load(begin, entryA); l.FreeCPU != 10_000 {
+		t.Errorf("%d thousandths of a core are free, want 10000", l.FreeCPU)
+	}
+}
