Dial an entry at once when its row in the store changes

Change: an entry writes its row when it starts, so a change of that row ends the pause and the attempt in progress, whose first packet may have been lost. Before: TestRowOfAStartedEntryEndsThePause fails (no such call).

--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -452,3 +452,27 @@
 		})
 	}
 }
+
+// Guards against agents that wait out the pause between two attempts although the entry
+// has just started: after a loss of power the first entries found no upstreams.
+func TestRowOfAStartedEntryEndsThePause(t *testing.T) {
+	a := StartAgent(AgentOptions{
+		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
+		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{},
+		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
+	})
+	defer a.Stop()
+	aborted := false
+	d := &dial{cancel: func() {}, abort: func() { aborted = true }, retry: make(chan struct{}, 1)}
+	a.mu.Lock()
+	a.dials["127.0.0.1:1"] = d
+	a.mu.Unlock()
+	row := platform.Change{Row: platform.Row{Key: "hosts/e1", Value: []byte(`{"address":"127.0.0.1:1","data_centre":"dc","incarnation":"2"}`), Version: 2}}
+	a.hostsChanged([]platform.Change{row}, false)
+	if !aborted {
+		t.Error("the attempt in progress was not ended")
+	}
+	if !d.pause(context.Background(), time.Hour) {
+		t.Error("the pause was not ended")
+	}
+}
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -29,6 +29,10 @@
 // dial is an address to which a link is maintained.
 type dial struct {
 	cancel context.CancelFunc
+	// abort ends the attempt to open a link that is in progress, and retry has an
+	// element if the next one is to follow without a pause.
+	abort context.CancelFunc
+	retry chan struct{}
 	// releasing is set once the link is no longer wanted, since releasedAt. The entry
 	// is told that it gets no more tasks, and the link closes when its tasks have ended.
 	releasing  bool
@@ -60,6 +64,9 @@
 			continue
 		}
 		a.plan.Set(host, row.Address, row.DataCentre)
+		if !all {
+			a.redial(row.Address)
+		}
 		a.log.Info("entry found", "entry", host, "address", row.Address, "row_version", r.Version)
 	}
 	if all {
@@ -119,21 +126,68 @@
 // dial starts to maintain a link to an address.
 func (a *Agent) dial(address string) {
 	ctx, cancel := context.WithCancel(a.ctx)
-	a.dials[address] = &dial{cancel: cancel}
-	a.spawn(func() { a.maintainLink(ctx, address) })
+	d := &dial{cancel: cancel, abort: func() {}, retry: make(chan struct{}, 1)}
+	a.dials[address] = d
+	a.spawn(func() { a.maintainLink(ctx, address, d) })
+}
+
+// redial makes the agent dial an address at once if it has no link to it. An entry writes
+// its row when it starts, so it listens by now, and an attempt that began before would
+// have to wait for the retransmission of its first packet.
+func (a *Agent) redial(address string) {
+	d := a.dials[address]
+	if d == nil {
+		return
+	}
+	select {
+	case d.retry <- struct{}{}:
+	default:
+	}
+	d.abort()
+}
+
+// open opens a link to an address.
+func (a *Agent) open(ctx context.Context, address string, d *dial) (*transport.TCPLink, error) {
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.mu.Lock()
+	d.abort = cancel
+	// The attempt begins now, so an earlier request for one is met.
+	select {
+	case <-d.retry:
+	default:
+	}
+	a.mu.Unlock()
+	return transport.DialTCP(attempt, address, a.options.Process.hello(wire.RoleAgent))
 }
 
-func (a *Agent) maintainLink(ctx context.Context, address string) {
+// pause waits before the next attempt, which may be requested sooner.
+func (d *dial) pause(ctx context.Context, pause time.Duration) (requested bool) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.retry:
+		return true
+	}
+	return false
+}
+
+func (a *Agent) maintainLink(ctx context.Context, address string, d *dial) {
 	pause := redialPause
 	for ctx.Err() == nil {
-		tcp, err := transport.DialTCP(address, a.options.Process.hello(wire.RoleAgent))
+		tcp, err := a.open(ctx, address, d)
 		if err != nil || tcp.Peer.Role != wire.RoleEntry {
 			if tcp != nil {
 				tcp.Close()
 			}
 			a.dialFailed(address)
-			sleep(ctx, pause)
-			pause = min(2*pause, redialMax)
+			if d.pause(ctx, pause) {
+				pause = redialPause
+			} else {
+				pause = min(2*pause, redialMax)
+			}
 			continue
 		}
 		pause = redialPause
--- a/internal/transport/tcplink.go
+++ b/internal/transport/tcplink.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -39,13 +40,20 @@
 	once   sync.Once
 }
 
-// DialTCP opens a link to address and exchanges Hello messages.
-func DialTCP(address string, hello wire.Hello) (*TCPLink, error) {
-	conn, err := net.DialTimeout("tcp", address, tcpDialTimeout)
+// DialTCP opens a link to address and exchanges Hello messages, unless ctx ends before.
+func DialTCP(ctx context.Context, address string, hello wire.Hello) (*TCPLink, error) {
+	dialer := net.Dialer{Timeout: tcpDialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.DialFailed.Wrap(err, "dial %s", address)
 	}
-	return newTCPLink(conn, hello)
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	l, err := newTCPLink(conn, hello)
+	if !stop() && err == nil {
+		l.Close()
+		return nil, fault.DialFailed.Wrap(ctx.Err(), "dial %s", address)
+	}
+	return l, err
 }
 
 // AcceptTCP opens a link on an accepted connection by exchanging Hello messages.
