Send idle heartbeats half as often and verify old reports before a refusal

Change: entries without tasks at an agent get a heartbeat every 200 ms and answer every second one; the first task of an entry makes the next heartbeat due at once. A job that would be refused for overload on reports older than 20 ms waits up to 15 ms for new ones, which the entry asks for (wire.LoadQuery), and is planned again. Ruled out: an interval of 300 ms, whose clock in an Assign is too near to the age at which agents refuse it; no verification of reports up to 40 ms old (2 fitting jobs refused). TestJobsWaitForTheOtherAgentsAfterARestart waits for the verification.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -131,6 +131,9 @@
 			b.retain(j)
 			return Outcome{}, false
 		}
+		if !j.verified && b.verify(now, j) {
+			return Outcome{}, false
+		}
 		return b.refuse(j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.jitter(minRetryAfter + worst)}, atOnce), true
 	}
 	for _, p := range placements {
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -26,8 +26,10 @@
 	// EntryBeat or an Assign.
 	confirmedAt time.Duration
 	load        wire.Load
-	seq         uint64
-	tasks       []*task
+	// reportAt is when load arrived, queriedAt when the agent was last asked for it.
+	reportAt, queriedAt time.Duration
+	seq                 uint64
+	tasks               []*task
 	// unreported holds the assignments that load does not include yet.
 	unreported []unreportedAssign
 	avoidUntil time.Duration
@@ -144,14 +146,21 @@
 	a.echoMS = max(a.echoMS, m.ClockMS)
 	a.load = m.Load
 	a.dropReported()
-	a.confirmedAt = now
-	b.send(a, &wire.EntryBeat{EchoMS: a.echoMS})
+	if len(a.tasks) > 0 || now-a.confirmedAt >= idleAnswerInterval {
+		a.confirmedAt = now
+		b.send(a, &wire.EntryBeat{EchoMS: a.echoMS})
+	}
 	if m.Load.Ready {
 		b.expireRetainedTasks(now, id.Host)
 		b.placeUnplaced(now)
 	}
+	b.reported(now, a)
 }
 
+// idleAnswerInterval is the time between two answers to the heartbeats of an agent without
+// tasks of this entry. The agent needs them only to notice a silent link.
+const idleAnswerInterval = 350 * time.Millisecond
+
 // expireSilentAgents gives up the tasks of agents that have been unreachable for so
 // long that their runs have ended.
 func (b *Broker) expireSilentAgents(now time.Duration) {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -102,6 +102,10 @@
 	// still run. They are in agentList as well.
 	retained map[string][]*agent
 	stats    map[string]*queueStats
+	// verifying holds the jobs that wait for new reports before they may be refused.
+	verifying []*verification
+	// nextQuery is the position in agentList at which the next queries begin.
+	nextQuery int
 	// unplaced holds the tasks that wait for an agent that can take them.
 	unplaced []*task
 
@@ -218,6 +222,7 @@
 func (b *Broker) Tick(now time.Duration) {
 	b.lastTick = now
 	b.expireSilentAgents(now)
+	b.decideVerified(now)
 	b.retryWithdrawals(now)
 	b.moveWaiting(now)
 	b.reassignStuck(now)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -411,6 +411,8 @@
 	}
 	g.now += 2 * agentArrivalWindow
 	g.submit("j2", 2, 4)
+	g.now += verifyTimeout
+	g.b.Tick(g.now)
 	if got := answers(g.takeEffects()); len(got) != 1 || got[0].Outcome.Reason != "overload" {
 		t.Errorf("answers %v, want a refusal after agentArrivalWindow", got)
 	}
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -24,6 +24,8 @@
 	// left; pending holds the requests that arrive meanwhile.
 	closing bool
 	outcome Outcome
+	// verified is whether agents with old reports were asked for new ones.
+	verified bool
 	// answered is whether the outcome was sent to the waiters.
 	answered bool
 	pending  []pendingSubmission
@@ -223,6 +225,7 @@
 	}
 	a.load = m.Load
 	a.dropReported()
+	defer b.reported(now, a)
 	t := b.taskOf(m.Attempt)
 	if t == nil || t.agent != a {
 		if !m.State.Final() {
--- /dev/null
+++ b/internal/broker/verify.go
@@ -0,0 +1,88 @@
+package broker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+// A job that seems to find no free capacity may be refused on reports that are older than
+// the runs they describe: many entries share an upstream, and heartbeats to an entry
+// without tasks there are rare. Before such a refusal, the broker asks the agents with old
+// reports for new ones, which takes a round trip, and plans again. This handles bursts
+// near the upstreams' capacity; while reports are recent, jobs are refused at once.
+const (
+	// reportMaxAge is the age of a report above which a refusal does not rest on it.
+	reportMaxAge = 20 * time.Millisecond
+	// verifyTimeout bounds the wait for new reports. It is a small part of the response
+	// time that callers expect of the shortest jobs.
+	verifyTimeout = 15 * time.Millisecond
+	// maxQueries bounds the agents that are asked for one job.
+	maxQueries = 24
+)
+
+// verification is a job that waits for new reports.
+type verification struct {
+	job     *job
+	until   time.Duration
+	queried []*agent
+}
+
+// verify asks agents with old reports for new ones. It returns false if there are none.
+func (b *Broker) verify(now time.Duration, j *job) bool {
+	v := &verification{job: j, until: now + verifyTimeout}
+	// Starting at another agent each time spreads the queries.
+	for i := range b.agentList {
+		a := b.agentList[(b.nextQuery+i)%len(b.agentList)]
+		if len(v.queried) == maxQueries {
+			b.nextQuery = (b.nextQuery + i) % len(b.agentList)
+			break
+		}
+		if now-a.reportAt <= reportMaxAge || !a.usable(now, &b.settings) || !a.serves(j.tasks[0]) {
+			continue
+		}
+		v.queried = append(v.queried, a)
+		if now-a.queriedAt > reportMaxAge || a.queriedAt == 0 {
+			a.queriedAt = now
+			b.send(a, &wire.LoadQuery{})
+		}
+	}
+	if len(v.queried) == 0 {
+		return false
+	}
+	b.verifying = append(b.verifying, v)
+	return true
+}
+
+// reported handles a new report of an agent.
+func (b *Broker) reported(now time.Duration, a *agent) {
+	a.reportAt = now
+	if len(b.verifying) == 0 {
+		return
+	}
+	for _, v := range b.verifying {
+		v.queried = slices.DeleteFunc(v.queried, func(o *agent) bool { return o == a })
+	}
+	b.decideVerified(now)
+}
+
+// decideVerified plans the jobs again whose reports are new or overdue, in the order of
+// their arrival.
+func (b *Broker) decideVerified(now time.Duration) {
+	for len(b.verifying) > 0 {
+		i := slices.IndexFunc(b.verifying, func(v *verification) bool { return len(v.queried) == 0 || now >= v.until })
+		if i < 0 {
+			return
+		}
+		j := b.verifying[i].job
+		b.verifying = slices.Delete(b.verifying, i, i+1)
+		if j.closing {
+			continue
+		}
+		j.verified = true
+		if refusal, refused := b.admit(now, j); refused {
+			b.close(now, j, refusal)
+		}
+	}
+}
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -225,26 +225,32 @@
 func (a *Agent) sendHeartbeats(now time.Duration, all bool) {
 	load := a.core.Load(now, runner.EntryID{})
 	for id, l := range a.links {
-		interval := a.core.HeartbeatInterval(now, id)
-		if now-l.lastAnswer > interval+maxAnswerDelay {
+		if a.core.LinkSilent(id, now-l.lastAnswer) {
 			a.log.Warn("link is silent; closing it", "entry", id.Host, "for_ms", (now - l.lastAnswer).Milliseconds())
 			l.tcp.Close()
 			continue
 		}
-		// Checks are not exactly heartbeatCheckInterval apart.
-		if !all && now-l.lastHeartbeat < interval-heartbeatCheckInterval/2 {
-			continue
-		}
-		l.lastHeartbeat = now
-		beat := wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: load}
-		beat.Load.LastSeq = a.core.LastSeq(id)
-		if d := a.dials[l.address]; d != nil && d.releasing {
-			beat.Load.Ready = false
+		if all || a.heartbeatDue(now, id, l) {
+			a.sendHeartbeat(now, id, l, load)
 		}
-		a.send(id, l, &beat)
 	}
 }
 
+func (a *Agent) heartbeatDue(now time.Duration, id runner.EntryID, l *link) bool {
+	// Checks are not exactly heartbeatCheckInterval apart.
+	return now-l.lastHeartbeat >= a.core.HeartbeatInterval(id)-heartbeatCheckInterval/2
+}
+
+func (a *Agent) sendHeartbeat(now time.Duration, id runner.EntryID, l *link, load wire.Load) {
+	l.lastHeartbeat = now
+	beat := wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: load}
+	beat.Load.LastSeq = a.core.LastSeq(id)
+	if d := a.dials[l.address]; d != nil && d.releasing {
+		beat.Load.Ready = false
+	}
+	a.send(id, l, &beat)
+}
+
 // Announce handles a heartbeat of the upstream.
 func (a *Agent) Announce(u runner.Announcement, clockMS int64) {
 	var stored <-chan struct{}
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -20,10 +20,6 @@
 	redialPause = 60 * time.Millisecond
 	// redialMax bounds the pause, which doubles with each failure.
 	redialMax = 250 * time.Millisecond
-	// maxAnswerDelay is added to the interval of heartbeats for the age of the last
-	// message from an entry above which its link is replaced. The new link has to be up
-	// before the entry counts as silent.
-	maxAnswerDelay = 200 * time.Millisecond
 )
 
 // dial is an address to which a link is maintained.
@@ -253,6 +249,11 @@
 			core.Confirm(id, time.Duration(m.EchoMS)*time.Millisecond)
 		case *wire.Assign:
 			core.Assign(now, id, *m)
+			if a.heartbeatDue(now, id, l) {
+				a.sendHeartbeat(now, id, l, core.Load(now, id))
+			}
+		case *wire.LoadQuery:
+			a.sendHeartbeat(now, id, l, core.Load(now, id))
 		case *wire.Withdraw:
 			core.Withdraw(now, id, *m)
 		case *wire.Resume:
--- a/internal/leasetest/processes_test.go
+++ b/internal/leasetest/processes_test.go
@@ -439,11 +439,12 @@
 func (a *agent) maintainLinks() {
 	for _, id := range a.linkIDs() {
 		c := a.links[id]
-		timeout := a.core.HeartbeatInterval(a.now(), id) + answerDelay
+		age := a.w.now - c.lastReceived
+		silent := a.core.LinkSilent(id, age)
 		if !c.answered {
-			timeout = helloTimeout
+			silent = age > helloTimeout
 		}
-		if a.w.now-c.lastReceived > timeout || c.closed {
+		if silent || c.closed {
 			a.closeLink(id, c)
 			continue
 		}
@@ -473,7 +474,7 @@
 func (a *agent) sendHeartbeats(all bool) {
 	for _, id := range a.linkIDs() {
 		c := a.links[id]
-		due := a.w.now-c.lastHeartbeat >= a.core.HeartbeatInterval(a.now(), id)
+		due := a.w.now-c.lastHeartbeat >= a.core.HeartbeatInterval(id)
 		if !c.answered || !(due || all) {
 			continue
 		}
@@ -522,6 +523,13 @@
 			r.Confirm(id, time.Duration(m.EchoMS)*time.Millisecond)
 		case *wire.Assign:
 			r.Assign(a.now(), id, *m)
+			if a.w.now-c.lastHeartbeat >= r.HeartbeatInterval(id) {
+				c.lastHeartbeat = a.w.now
+				c.sendToEntry(&wire.AgentBeat{ClockMS: uint64(a.now() / time.Millisecond), Load: r.Load(a.now(), id)})
+			}
+		case *wire.LoadQuery:
+			c.lastHeartbeat = a.w.now
+			c.sendToEntry(&wire.AgentBeat{ClockMS: uint64(a.now() / time.Millisecond), Load: r.Load(a.now(), id)})
 		case *wire.Withdraw:
 			r.Withdraw(a.now(), id, *m)
 		case *wire.Resume:
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -22,9 +22,6 @@
 	resendAfter = 1300 * time.Millisecond
 	maxLease    = time.Second
 	stopGrace   = 50 * time.Millisecond
-	// answerDelay is the delay of an answer to a heartbeat above which an agent dials
-	// again.
-	answerDelay = 200 * time.Millisecond
 	// helloTimeout is the time without the entry's Hello after which an agent dials
 	// again.
 	helloTimeout = 400 * time.Millisecond
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -79,7 +79,6 @@
 func (r *Runner) Assign(now time.Duration, id EntryID, m wire.Assign) {
 	s := r.entry(id)
 	s.lastSeq = max(s.lastSeq, m.Seq)
-	s.lastAssignAt = now
 	echo := time.Duration(m.EchoMS) * time.Millisecond
 	a := &attempt{
 		id: m.Attempt, entry: id, assign: m, state: wire.RunWaiting, queueIndex: -1,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -100,9 +100,8 @@
 	// confirmedAt is the latest agent time that the entry has echoed.
 	confirmedAt time.Duration
 	connected   bool
-	// lastSeq is the sequence number of the last Assign, lastAssignAt when it came.
-	lastSeq      uint64
-	lastAssignAt time.Duration
+	// lastSeq is the sequence number of the last Assign.
+	lastSeq uint64
 }
 
 // Runner is the state machine. It is not safe for concurrent use.
@@ -372,24 +371,36 @@
 	// heartbeatInterval is the time between two heartbeats to an entry with tasks here.
 	// Each confirms the runs; four may be lost before ConfirmationTimeout.
 	heartbeatInterval = 100 * time.Millisecond
+	// idleAnswerTimeout is the age of the last message from an entry without tasks here
+	// above which its link counts as silent, answerTimeout that for other entries. The
+	// new link has to be up before the entry counts as silent.
+	idleAnswerTimeout = 650 * time.Millisecond
+	answerTimeout     = 300 * time.Millisecond
 	// idleHeartbeatInterval is the time between two heartbeats to other entries. Their
 	// next Assign carries the clock of the last heartbeat, which must be younger than
 	// ConfirmationTimeout.
 	idleHeartbeatInterval = 200 * time.Millisecond
-	// busyAfterAssign is the time after an Assign for which its entry counts as one with
-	// tasks here, because it is likely to send more.
-	busyAfterAssign = time.Second
 )
 
-// HeartbeatInterval returns the time between two heartbeats to an entry.
-func (r *Runner) HeartbeatInterval(now time.Duration, id EntryID) time.Duration {
-	s := r.entries[id]
-	if s != nil && s.lastAssignAt > 0 && now-s.lastAssignAt < busyAfterAssign || r.HasTasksOf(id) {
+// HeartbeatInterval returns the time between two heartbeats to an entry. It is shorter from
+// the entry's first task on, so that its next heartbeat is due at once then: the clock that
+// the Assign carries may be nearly as old as ConfirmationTimeout.
+func (r *Runner) HeartbeatInterval(id EntryID) time.Duration {
+	if r.HasTasksOf(id) {
 		return heartbeatInterval
 	}
 	return idleHeartbeatInterval
 }
 
+// LinkSilent reports whether a link counts as silent whose last message is of the given
+// age.
+func (r *Runner) LinkSilent(id EntryID, age time.Duration) bool {
+	if r.HasTasksOf(id) {
+		return age > answerTimeout
+	}
+	return age > idleAnswerTimeout
+}
+
 // HasTasksOf reports whether tasks of the entry wait or run.
 func (r *Runner) HasTasksOf(id EntryID) bool {
 	return slices.ContainsFunc(r.active, func(a *attempt) bool { return a.entry == id })
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -31,6 +31,7 @@
 	reflect.TypeFor[Drain](),
 	reflect.TypeFor[AgentBeat](), reflect.TypeFor[EntryBeat](), reflect.TypeFor[Assign](),
 	reflect.TypeFor[Withdraw](), reflect.TypeFor[RunReport](), reflect.TypeFor[Resume](),
+	reflect.TypeFor[LoadQuery](),
 }
 
 var kindOf = func() map[reflect.Type]byte {
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -65,6 +65,9 @@
 	Load    Load   `cbor:"2,keyasint"`
 }
 
+// LoadQuery asks an agent for an AgentBeat at once.
+type LoadQuery struct{}
+
 // EntryBeat answers an AgentBeat. It confirms that, at EchoMS on the agent's
 // clock, the entry still wanted all the tasks that it had assigned.
 type EntryBeat struct {
