Keep the order of an agent's entries between ticks

Cause: each tick sorted the keys of all entries: 15% of the agents' time at rest on the large site (perf, 120 agents, 8 s). Change: the order is kept until an entry is added or removed.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -116,8 +116,10 @@
 	// draining is set when the agent shuts down.
 	draining bool
 
-	entries  map[EntryID]*entryState
-	attempts map[wire.LeasedAttempt]*attempt
+	entries map[EntryID]*entryState
+	// entryOrder holds the keys of entries in a fixed order, or is nil after a change.
+	entryOrder []EntryID
+	attempts   map[wire.LeasedAttempt]*attempt
 	// active holds the attempts that wait or run, in the order of their arrival,
 	// which makes the runner deterministic.
 	active []*attempt
@@ -243,7 +245,7 @@
 	for _, other := range r.entryIDs() {
 		if other.Host == id.Host && other != id {
 			r.abandon(now, other, "entry-restarted")
-			delete(r.entries, other)
+			r.removeEntry(other)
 		}
 	}
 }
@@ -260,10 +262,16 @@
 	if s == nil {
 		s = &entryState{}
 		r.entries[id] = s
+		r.entryOrder = nil
 	}
 	return s
 }
 
+func (r *Runner) removeEntry(id EntryID) {
+	delete(r.entries, id)
+	r.entryOrder = nil
+}
+
 // Confirm handles an entry's heartbeat, which echoes the agent's time echo and
 // confirms the entry's tasks.
 func (r *Runner) Confirm(id EntryID, echo time.Duration) {
@@ -301,7 +309,7 @@
 		}
 		r.abandon(now, id, "entry-silent")
 		if !s.connected && now-s.confirmedAt > r.settings.EndedRetention {
-			delete(r.entries, id)
+			r.removeEntry(id)
 		}
 	}
 	r.expireRestored(now)
@@ -313,11 +321,15 @@
 	r.checkCapacity()
 }
 
-// entryIDs returns the IDs of the entries in a fixed order.
+// entryIDs returns the IDs of the entries in a fixed order. The caller must not change the
+// slice, which stays valid when entries are added or removed.
 func (r *Runner) entryIDs() []EntryID {
-	return slices.SortedFunc(maps.Keys(r.entries), func(a, b EntryID) int {
-		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	if r.entryOrder == nil {
+		r.entryOrder = slices.SortedFunc(maps.Keys(r.entries), func(a, b EntryID) int {
+			return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+		})
+	}
+	return r.entryOrder
 }
 
 func (r *Runner) expireEnded(now time.Duration) {
