Bound the work of placing waiting tasks as many agents return

Cause: each heartbeat compared every waiting task with every agent. When all agents of a large deployment return to an entry with waiting jobs, work grows with heartbeats x tasks x agents: 1,062,400 comparisons for 80 agents and 320 tasks in 8 ms. Change: heartbeats place waiting tasks every 5 ms at most; the tick does so as before.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -193,9 +193,23 @@
 	}
 }
 
+// unplacedInterval is the shortest time between two attempts to place the retained tasks as
+// heartbeats arrive. Each attempt compares every task with every agent, and after a
+// restart of all hosts many of both come at once.
+const unplacedInterval = 5 * time.Millisecond
+
+// agentReported places the retained tasks after an agent's heartbeat. Those that are left
+// out within unplacedInterval are placed by the next heartbeat or tick.
+func (b *Broker) agentReported(now time.Duration) {
+	if len(b.unplaced) > 0 && now-b.unplacedTriedAt >= unplacedInterval {
+		b.placeUnplaced(now)
+	}
+}
+
 // placeUnplaced places the retained tasks where possible, and refuses jobs that
 // have waited too long.
 func (b *Broker) placeUnplaced(now time.Duration) {
+	b.unplacedTriedAt = now
 	for _, t := range slices.Clone(b.unplaced) {
 		j := t.job
 		if !t.unplaced {
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -152,7 +152,7 @@
 	}
 	if m.Load.Ready {
 		b.expireRetainedTasks(now, id.Host)
-		b.placeUnplaced(now)
+		b.agentReported(now)
 	}
 	b.reported(now, a)
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -108,6 +108,8 @@
 	nextQuery int
 	// unplaced holds the tasks that wait for an agent that can take them.
 	unplaced []*task
+	// unplacedTriedAt is when the broker last tried to place them.
+	unplacedTriedAt time.Duration
 
 	draining bool
 	lastTick time.Duration
