Count tasks on their way as room that is taken in the check of refusals

Trace: the room had been given to earlier jobs, whose tasks were on their way to the agents or waited there. Change: the check subtracts all tasks that were sent to an agent and have not ended there.

--- a/internal/leasetest/processes_test.go
+++ b/internal/leasetest/processes_test.go
@@ -184,6 +184,9 @@
 		switch m := effect.(type) {
 		case broker.Send:
 			if c := e.links[m.Agent]; c != nil {
+				if assign, ok := m.Message.(*wire.Assign); ok {
+					e.w.committed[committedKey{c.a.index, assign.Attempt}] = assign.CPU
+				}
 				c.sendToAgent(m.Message)
 			}
 		case broker.Answer:
@@ -332,6 +335,9 @@
 		a.sendHeartbeats(true)
 	case runner.Report:
 		a.w.logf("agent %d: %v is %v: %s", a.index, m.Attempt, m.State, m.Reason)
+		if m.State.Final() {
+			delete(a.w.committed, committedKey{a.index, m.Attempt})
+		}
 		if c := a.links[m.Entry]; c != nil && c.answered {
 			c.sendToEntry(&wire.RunReport{Attempt: m.Attempt, State: m.State, Reason: m.Reason,
 				RanMS: uint32(m.RunTime / time.Millisecond), Load: a.core.Load(a.now(), m.Entry)})
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -48,6 +48,9 @@
 	commandsOutliveIncarnations bool
 	commandFaultRate            float64
 	failure                     string
+	// committed holds the cores of the tasks that were sent to an agent and have not
+	// ended there.
+	committed map[committedKey]int
 	// noLog turns the log off.
 	noLog  bool
 	log    []string
@@ -56,6 +59,12 @@
 	queue  *catalog.Queue
 }
 
+// committedKey identifies an attempt at the agent of a host.
+type committedKey struct {
+	host    int
+	attempt wire.LeasedAttempt
+}
+
 type taskSpec struct {
 	cpu         int
 	runTime     time.Duration
@@ -94,7 +103,8 @@
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), now: time.Second, events: map[time.Duration][]func(){},
 		jobs: map[string]*clientJob{}, live: map[wire.LeasedTask]map[wire.LeasedAttempt]bool{},
-		queue: &catalog.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, LatencyTarget: 100 * time.Millisecond},
+		committed: map[committedKey]int{},
+		queue:     &catalog.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, LatencyTarget: 100 * time.Millisecond},
 	}
 	for i := range agents {
 		w.upstreams = append(w.upstreams, newUpstream(w, i))
