Separate an agent's presence from its reactions, and release links for good

Cause, all found by reading the change: with every agent's reaction late, as after a stall of the entry itself, the entry took the next heartbeat for the return of all agents and held jobs back for 60 ms; reports on tasks still called an agent ready on a link that it was about to close; and a link that an entry refuses was dialled again without a pause. Change: readiness, the wait for returning agents and the last presence rest on links and heartbeats, placing on reactions as well; all loads on a released link are not ready; a link that lived less than 1 s is dialled again after the shortest pause. After: all tests of broker, leased, runner and platform pass.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -165,7 +165,7 @@
 // admitWithoutAgent handles a job that no agent can take now. If an agent is likely
 // to become usable, the job is retained until its start limit, otherwise refused.
 func (b *Broker) admitWithoutAgent(now time.Duration, j *job) (Outcome, bool) {
-	if now > startupGrace && now-b.lastUsableAt > agentReturnTimeout {
+	if now > startupGrace && now-b.lastPresentAt > agentReturnTimeout {
 		return b.refuse(j, Outcome{Kind: Refused, Reason: "no-upstream", RetryAfter: b.jitter(minRetryAfter)}, 0), true
 	}
 	b.retain(j)
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -43,11 +43,16 @@
 	workMS   int
 }
 
-// usable reports whether the agent may get tasks.
-func (a *agent) usable(now time.Duration, s *Settings) bool {
+// present reports whether the agent's link and upstream are in order.
+func (a *agent) present(now time.Duration, s *Settings) bool {
 	return a.connected && a.load.Ready && !a.load.Draining && now >= a.avoidUntil &&
-		now-a.heartbeatAt <= s.HeartbeatTimeout &&
-		(len(a.unreported) == 0 || now-a.unreported[0].at <= s.ReactionTimeout)
+		now-a.heartbeatAt <= s.HeartbeatTimeout
+}
+
+// usable reports whether the agent may get tasks: it is present and reacts to those that it
+// was sent.
+func (a *agent) usable(now time.Duration, s *Settings) bool {
+	return a.present(now, s) && (len(a.unreported) == 0 || now-a.unreported[0].at <= s.ReactionTimeout)
 }
 
 // dropReported drops the assignments that the load includes.
@@ -139,7 +144,7 @@
 	if a == nil || a.id != id {
 		return
 	}
-	if m.Load.Ready && !b.HasUsableAgent(now) {
+	if m.Load.Ready && !b.HasAgent(now) {
 		b.agentsExpectedUntil = now + agentArrivalWindow
 	}
 	a.heartbeatAt = now
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -119,9 +119,9 @@
 	// agentsExpectedUntil is the time until which more agents are expected to
 	// become usable.
 	agentsExpectedUntil time.Duration
-	// lastUsableAt is the last tick at which an agent was usable.
-	lastUsableAt time.Duration
-	effects      []Effect
+	// lastPresentAt is the last tick at which an agent was present.
+	lastPresentAt time.Duration
+	effects       []Effect
 }
 
 type answer struct {
@@ -171,20 +171,10 @@
 // all have ended.
 func (b *Broker) LiveJobs() int { return len(b.jobs) }
 
-// UsableAgents returns the number of agents that may get tasks.
-func (b *Broker) UsableAgents(now time.Duration) int {
-	n := 0
-	for _, a := range b.agentList {
-		if a.usable(now, &b.settings) {
-			n++
-		}
-	}
-	return n
-}
-
-// HasUsableAgent reports whether any agent may get tasks.
-func (b *Broker) HasUsableAgent(now time.Duration) bool {
-	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.usable(now, &b.settings) })
+// HasAgent reports whether any agent is present. Reactions do not count: those of all agents
+// may be late because this process was.
+func (b *Broker) HasAgent(now time.Duration) bool {
+	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.present(now, &b.settings) })
 }
 
 // State returns the state of a job for its caller, and whether there is one.
@@ -228,8 +218,8 @@
 	b.retryWithdrawals(now)
 	b.moveWaiting(now)
 	b.reassignStuck(now)
-	if b.HasUsableAgent(now) {
-		b.lastUsableAt = now
+	if b.HasAgent(now) {
+		b.lastPresentAt = now
 	}
 	b.placeUnplaced(now)
 	b.expireAnswers(now)
--- a/internal/broker/links_test.go
+++ b/internal/broker/links_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// Guards against waiting for agents to return, as after a restart of all, when only their
+// reactions are late: this process may have been late itself.
+func TestLateReactionsAreNoRestart(t *testing.T) {
+	g := newRig(t, "a")
+	g.submit("j1", 1, 1)
+	g.takeEffects()
+	g.now += g.b.settings.ReactionTimeout + time.Millisecond
+	if !g.b.HasAgent(g.now) {
+		t.Error("the agent counts as gone")
+	}
+	full := load(0)
+	full.LastSeq = 1
+	g.heartbeat("a", full)
+	g.submit("j2", 2, 1)
+	if got := answers(g.takeEffects()); len(got) != 1 || got[0].Outcome.Reason != "overload" {
+		t.Errorf("answers %v, want a refusal at once", got)
+	}
+}
+
 // Guards against a refusal as not run after a pause of the entry: the agent has run the
 // task, ended it as its entry was silent, and dropped the record.
 func TestJobMayHaveRunDuringAPause(t *testing.T) {
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -179,7 +179,7 @@
 	}
 	a.send(m.Entry, l, &wire.RunReport{
 		Attempt: m.Attempt, State: m.State, Reason: m.Reason,
-		RanMS: uint32(m.RunTime / time.Millisecond), Load: a.core.Load(now, m.Entry),
+		RanMS: uint32(m.RunTime / time.Millisecond), Load: a.loadFor(m.Entry, l, a.core.Load(now, m.Entry)),
 	})
 }
 
@@ -243,12 +243,17 @@
 
 func (a *Agent) sendHeartbeat(now time.Duration, id runner.EntryID, l *link, load wire.Load) {
 	l.lastHeartbeat = now
-	beat := wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: load}
-	beat.Load.LastSeq = a.core.LastSeq(id)
+	a.send(id, l, &wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: a.loadFor(id, l, load)})
+}
+
+// loadFor adapts the upstream's load to an entry. One whose link is no longer wanted gets no
+// more tasks.
+func (a *Agent) loadFor(id runner.EntryID, l *link, load wire.Load) wire.Load {
+	load.LastSeq = a.core.LastSeq(id)
 	if d := a.dials[l.address]; d != nil && d.releasing {
-		beat.Load.Ready = false
+		load.Ready = false
 	}
-	a.send(id, l, &beat)
+	return load
 }
 
 // Announce handles a heartbeat of the upstream.
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -280,7 +280,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.core.HasUsableAgent(e.now())
+	return e.core.HasAgent(e.now())
 }
 
 // Draining reports whether the entry is shutting down.
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -476,3 +476,30 @@
 		t.Error("the pause was not ended")
 	}
 }
+
+// Guards against an entry that goes on sending tasks on a link that is about to close,
+// because reports on its tasks still said that the agent is ready.
+func TestReleasedLinkIsNotReady(t *testing.T) {
+	a := StartAgent(AgentOptions{
+		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
+		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{},
+		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
+	})
+	defer a.Stop()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := &link{address: "127.0.0.1:1"}
+	d := &dial{cancel: func() {}, abort: func() {}, retry: make(chan struct{}, 1)}
+	a.dials[l.address] = d
+	if !a.loadFor(runner.EntryID{Host: "e1"}, l, wire.Load{Ready: true}).Ready {
+		t.Fatal("not ready on a wanted link")
+	}
+	a.applyPlan()
+	if !d.releasing || a.loadFor(runner.EntryID{Host: "e1"}, l, wire.Load{Ready: true}).Ready {
+		t.Error("ready on a link that is no longer wanted")
+	}
+	a.closeReleased(d.releasedAt + releaseDelay)
+	if a.dials[l.address] != nil {
+		t.Error("the link without tasks is not closed")
+	}
+}
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -18,6 +18,8 @@
 const (
 	// redialPause is the pause before the first retry after a failed dial.
 	redialPause = 60 * time.Millisecond
+	// minLinkTime is the life of a link below which the next dial follows a pause.
+	minLinkTime = time.Second
 	// redialMax bounds the pause, which doubles with each failure.
 	redialMax = 250 * time.Millisecond
 )
@@ -187,7 +189,12 @@
 			continue
 		}
 		pause = redialPause
+		opened := time.Now()
 		a.serve(ctx, address, tcp)
+		if time.Since(opened) < minLinkTime {
+			// The entry has refused the link, or is ending.
+			d.pause(ctx, pause)
+		}
 	}
 }
 
@@ -214,7 +221,7 @@
 		core.Connected(now, id)
 		a.plan.Linked(address)
 		a.applyPlan()
-		a.send(id, l, &wire.AgentBeat{ClockMS: uint64(now / time.Millisecond), Load: core.Load(now, id)})
+		a.sendHeartbeat(now, id, l, core.Load(now, id))
 	})
 	a.log.Info("entry connected", "entry", id.Host, "incarnation", id.Incarnation, "address", tcp.Remote())
 	for {
