--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -182,10 +183,14 @@
 	wait  time.Duration
 }
 
-// plan chooses agents for all tasks of a job and reserves their capacity.
+// plan chooses agents for all tasks of a job and reserves their capacity. The largest tasks
+// choose first, because small ones fit in what they leave.
 func (b *Broker) plan(now time.Duration, j *job) []placement {
 	placements := make([]placement, len(j.tasks))
-	for i, t := range j.tasks {
+	bySize := slices.SortedStableFunc(slices.Values(j.tasks), func(x, y *task) int {
+		return cmp.Compare(y.spec.CPU, x.spec.CPU)
+	})
+	for i, t := range bySize {
 		a, _, wait := b.chooseAgent(now, t)
 		placements[i] = placement{task: t, agent: a, wait: wait}
 		if a != nil {
