--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -128,6 +128,17 @@
 	return e
 }
 
+func newTestAgent(t *testing.T, f *feed, seeds ...string) *Agent {
+	t.Helper()
+	a := StartAgent(AgentOptions{
+		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
+		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: f, Seeds: seeds,
+		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(a.Stop)
+	return a
+}
+
 // Guards against an entry that returns to an older configuration, keeps an old one
 // after the store has lost its history, or applies one that it cannot decode.
 func TestEntryFollowsTheConfiguration(t *testing.T) {
@@ -433,12 +444,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &feed{}
-			a := StartAgent(AgentOptions{
-				Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
-				Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: f,
-				Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
-			})
-			defer a.Stop()
+			a := newTestAgent(t, f)
 			a.Announce(announcement, 1000)
 			leave(a)
 			stored, err := f.Get(context.Background(), "upstreams/a1")
@@ -456,12 +462,7 @@
 // Guards against agents that wait out the pause between two attempts although the entry
 // has just started: after a loss of power the first entries found no upstreams.
 func TestRowOfAStartedEntryEndsThePause(t *testing.T) {
-	a := StartAgent(AgentOptions{
-		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
-		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{},
-		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
-	})
-	defer a.Stop()
+	a := newTestAgent(t, &feed{})
 	aborted := false
 	d := &dial{cancel: func() {}, abort: func() { aborted = true }, retry: make(chan struct{}, 1)}
 	a.mu.Lock()
@@ -480,12 +481,7 @@
 // Guards against an entry that goes on sending tasks on a link that is about to close,
 // because reports on its tasks still said that the agent is ready.
 func TestReleasedLinkIsNotReady(t *testing.T) {
-	a := StartAgent(AgentOptions{
-		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
-		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{},
-		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
-	})
-	defer a.Stop()
+	a := newTestAgent(t, &feed{})
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l := &link{address: "127.0.0.1:1"}
--- a/internal/leased/malformed_test.go
+++ b/internal/leased/malformed_test.go
@@ -118,12 +118,7 @@
 		}
 		conn.Close()
 	}
-	a := StartAgent(AgentOptions{
-		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
-		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{}, Seeds: []string{address},
-		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
-	})
-	defer a.Stop()
+	a := newTestAgent(t, &feed{}, address)
 	a.Announce(runner.Announcement{UpstreamID: runner.UpstreamID{ID: "u", StartMS: 7}, Service: "s", CPU: 10_000, MemMB: 100, Seq: 1}, 1000)
 	eventually(t, "no job is served after malformed messages", func() bool {
 		o := e.Run(context.Background(), broker.Submission{ID: "j2", Queue: q, Tasks: []broker.TaskSpec{{CPU: 4000}}, Timeout: time.Second})
@@ -139,12 +134,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	a := StartAgent(AgentOptions{
-		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
-		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{}, Seeds: []string{listener.Addr().String()},
-		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
-	})
-	defer a.Stop()
+	a := newTestAgent(t, &feed{}, listener.Addr().String())
 	a.Announce(runner.Announcement{UpstreamID: runner.UpstreamID{ID: "u", StartMS: 7}, Service: "s", CPU: 10_000, MemMB: 100, Seq: 1}, 1000)
 	rng := rand.New(rand.NewSource(2))
 	for range 40 {
