--- /dev/null
+++ b/internal/leasetest/entries_test.go
@@ -0,0 +1,115 @@
+package leasetest
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/broker"
+	"github.com/damasklb/damasklb/internal/runner"
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+// entry drives a broker as its I/O layer does.
+type entry struct {
+	process
+	w        *world
+	index    int
+	core     *broker.Broker
+	links    map[broker.AgentID]*conn
+	waiting  map[broker.Waiter]*clientJob
+	next     broker.Waiter
+	tickedAt time.Duration
+}
+
+func (e *entry) restart() {
+	e.incarnation++
+	e.startedAt = e.w.now
+	e.paused, e.process.pendingInputs, e.backlog = false, nil, nil
+	r := runner.DefaultSettings(resendAfter, maxLease)
+	ended := r.ConfirmationTimeout + r.StopAnswerTimeout + r.Lease*102/100 + stopGrace
+	e.core = broker.New(broker.DefaultSettings("dc", ended), rand.NewSource(e.w.rng.Int63()))
+	e.links = map[broker.AgentID]*conn{}
+	e.waiting = map[broker.Waiter]*clientJob{}
+	e.tickedAt = 0
+}
+
+func (e *entry) now() time.Duration { return e.w.now - e.startedAt + time.Second }
+
+func (e *entry) do(f func(*broker.Broker)) {
+	now := e.now()
+	if e.tickedAt > 0 && now-e.tickedAt > 350*time.Millisecond {
+		e.core.ProcessResumed(now)
+		e.tickedAt = now
+	}
+	f(e.core)
+	for _, effect := range e.core.TakeEffects() {
+		switch m := effect.(type) {
+		case broker.Send:
+			if c := e.links[m.Agent]; c != nil {
+				if assign, ok := m.Message.(*wire.Assign); ok {
+					e.w.committed[committedKey{c.a.index, assign.Attempt}] = assign.CPU
+				}
+				c.sendToAgent(m.Message)
+			}
+		case broker.Answer:
+			e.w.answer(e, m)
+		case broker.Decision:
+			e.w.logf("entry %d: %s job %s task %d run %d at %s: %s", e.index, m.Action, m.Job, m.Index, m.Run, m.Agent, m.Reason)
+		}
+	}
+}
+
+func (e *entry) tick() {
+	if e.paused {
+		return
+	}
+	e.tickedAt = e.now()
+	e.do(func(c *broker.Broker) { c.Tick(e.now()) })
+}
+
+func (e *entry) handleMessage(c *conn, m wire.Message) {
+	id := agentID(c.a)
+	id.Incarnation = itoa(c.agentIncarnation)
+	switch m := m.(type) {
+	case *wire.Hello:
+		c.helloAt = e.now()
+		c.sendToAgent(&wire.Hello{})
+	case *wire.AgentBeat:
+		if !c.opened {
+			c.opened = true
+			e.open(c, id, *m)
+		}
+		if e.links[id] == c {
+			e.do(func(b *broker.Broker) { b.Heartbeat(e.now(), id, *m) })
+		}
+	case *wire.RunReport:
+		if e.links[id] == c {
+			e.do(func(b *broker.Broker) { b.Report(e.now(), id, *m) })
+		}
+	}
+}
+
+// open handles the first heartbeat on a link.
+func (e *entry) open(c *conn, id broker.AgentID, m wire.AgentBeat) {
+	link := broker.Link{Agent: id, DataCentre: "dc", HelloSentAt: c.helloAt, HelloReceivedAt: c.helloAt, ClockMS: m.ClockMS}
+	e.do(func(b *broker.Broker) {
+		if b.Connected(e.now(), link) {
+			e.links[id] = c
+			return
+		}
+		e.w.logf("entry %d refuses a link of agent %d incarnation %s", e.index, c.a.index, id.Incarnation)
+		e.w.after(step, func() {
+			if c.a.incarnation == c.agentIncarnation {
+				c.a.receive(func() { c.a.dropLink(c) })
+			}
+		})
+	})
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
+
