--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/broker"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/wire"
 )
--- a/internal/leasetest/connections_test.go
+++ b/internal/leasetest/connections_test.go
@@ -140,4 +140,3 @@
 		a.receiveFrom(c, func() { a.handleMessage(c, m) })
 	})
 }
-
--- a/internal/leasetest/entries_test.go
+++ b/internal/leasetest/entries_test.go
@@ -112,4 +112,3 @@
 	}
 	return itoa(n/10) + itoa(n%10)
 }
-
