Add message fields for evacuations, wait forecasts, preemption and explanations

Cause: entries and agents cannot tell each other which data centres are being emptied, how long a task of each priority would wait, whether a run may be stopped for more urgent work, or that an upstream is cold.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -66,3 +66,15 @@
 	}
 	return best
 }
+
+// Named returns the queue with a name, or nil if there is none.
+func (c *Catalog) Named(name string) *Queue {
+	for _, queues := range c.byHost {
+		for _, q := range queues {
+			if q.Name == name {
+				return q
+			}
+		}
+	}
+	return nil
+}
--- a/internal/credit/account.go
+++ b/internal/credit/account.go
@@ -64,6 +64,9 @@
 // because no task waits.
 func (a *Account) ShouldReturn(waiting int) bool { return a.asked && a.Available() > 0 && waiting == 0 }
 
+// Wanting reports whether the agent may hold slots for a Want of this account.
+func (a *Account) Wanting() bool { return a.want > 0 || a.asked }
+
 // RecordWant records that a Want is sent. A count of 0 returns offered slots.
 func (a *Account) RecordWant(count int) {
 	a.want = count
--- a/internal/fault/config.go
+++ b/internal/fault/config.go
@@ -16,6 +16,8 @@
 	ChangeIDReused = ConfigErrors.NewType("change_id_reused")
 	// NoVersion: the configuration version does not exist.
 	NoVersion = ConfigErrors.NewType("no_version", errorx.NotFound())
+	// UnknownDataCentre: the configuration does not list the data centre.
+	UnknownDataCentre = ConfigErrors.NewType("unknown_data_centre", errorx.NotFound())
 	// NotInForce: a version is not in force everywhere in the time allowed.
 	NotInForce = ConfigErrors.NewType("not_in_force", errorx.Temporary())
 )
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -16,9 +16,9 @@
 // table.
 type Feed interface {
 	Table
-	// Snapshot returns the rows of a table, and the version from which Watch
-	// continues.
-	Snapshot(ctx context.Context, table string) ([]Row, uint64, error)
+	// Snapshot returns the rows of a table, or those of its rows whose keys start with a
+	// prefix ("table/prefix"), and the version from which Watch continues.
+	Snapshot(ctx context.Context, prefix string) ([]Row, uint64, error)
 	// Watch returns the changes of a table after a version, in order, and the
 	// version from which to continue. It waits at most the given time for the
 	// first change. The error fault.HistoryGone means that a new Snapshot is needed.
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -154,8 +154,7 @@
 	if !ok {
 		return fault.BadPeer.New("peer %q sent %T before a ping", l.Peer.ID, m)
 	}
-	hello := l.handler.Hello()
-	if err := l.Send(&wire.Pong{Seq: first.Seq, MapVersion: hello.MapVersion, ConfigVersion: hello.ConfigVersion}); err != nil {
+	if err := l.Send(wire.NewPong(first.Seq, l.handler.Hello())); err != nil {
 		return err
 	}
 	if err := l.stream.SetReadDeadline(time.Time{}); err != nil {
@@ -350,10 +349,9 @@
 	traffic.received.Add(1)
 	switch m := m.(type) {
 	case *wire.Ping:
-		hello := l.handler.Hello()
 		// The error does not matter: if the link has closed, the peer detects it by
 		// itself.
-		_ = l.Send(&wire.Pong{Seq: m.Seq, MapVersion: hello.MapVersion, ConfigVersion: hello.ConfigVersion})
+		_ = l.Send(wire.NewPong(m.Seq, l.handler.Hello()))
 		l.handler.Receive(l, m, time.Time{})
 	case *wire.Pong:
 		sent := l.pingSentAt(m.Seq)
@@ -372,8 +370,7 @@
 	l.pingMu.Lock()
 	l.pings[seq] = time.Now()
 	l.pingMu.Unlock()
-	hello := l.handler.Hello()
-	return l.Send(&wire.Ping{Seq: seq, MapVersion: hello.MapVersion, ConfigVersion: hello.ConfigVersion})
+	return l.Send(wire.NewPing(seq, l.handler.Hello()))
 }
 
 func (l *Link) pingSentAt(seq uint64) time.Time {
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -60,6 +60,19 @@
 	StartMS int64 `cbor:"15,keyasint,omitempty"`
 	// Trial is the strictest trial among the tasks that wait or run.
 	Trial Trial `cbor:"16,keyasint,omitempty"`
+	// Evacuated is set if only the evacuation of its data centre keeps the upstream
+	// from being ready.
+	Evacuated bool `cbor:"17,keyasint,omitempty"`
+	// ColdMS is how much longer the upstream stays slow after its start.
+	ColdMS uint32 `cbor:"18,keyasint,omitempty"`
+	// WaitMS is the predicted wait of a further task of ordinary size by priority, behind
+	// what waits now. Entries add what they have sent since.
+	WaitMS [PriorityLevels]uint16 `cbor:"19,keyasint,omitempty"`
+	// ReleaseRate is the rate at which runs release cores for each priority while the upstream
+	// is full, in thousandths of a core per second. 0 means that the agent makes no forecast.
+	ReleaseRate [PriorityLevels]uint32 `cbor:"20,keyasint,omitempty"`
+	// TaskCPU is the size of the task that WaitMS is for, in thousandths of a core.
+	TaskCPU int `cbor:"21,keyasint,omitempty"`
 }
 
 // Trial says how a task runs that may have crashed an upstream.
@@ -113,6 +126,25 @@
 	EchoMS uint64 `cbor:"1,keyasint"`
 	// ReportNow asks the agent for a heartbeat at once.
 	ReportNow bool `cbor:"2,keyasint,omitempty"`
+	// Evacuations is what the entry knows of evacuations. It is sent on a new link, after
+	// a change and otherwise at intervals.
+	Evacuations *Evacuations `cbor:"3,keyasint,omitempty"`
+}
+
+// Evacuations holds all data centres in which no task may start, as of a version of the
+// store.
+type Evacuations struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// AgeMS is the age of the sender's knowledge that this was the newest state.
+	AgeMS    uint32       `cbor:"2,keyasint,omitempty"`
+	Requests []Evacuation `cbor:"3,keyasint,omitempty"`
+}
+
+// Evacuation is an operator's request to empty a data centre. Version is the store's
+// version of the request.
+type Evacuation struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Version    uint64 `cbor:"2,keyasint"`
 }
 
 // Assign gives an agent a task to run. EchoMS is the newest agent clock that
@@ -142,6 +174,9 @@
 	// TrialMS.
 	Trial   Trial  `cbor:"14,keyasint,omitempty"`
 	TrialMS uint32 `cbor:"15,keyasint,omitempty"`
+	// MayYield allows the agent to stop the run for more urgent work soon after its start:
+	// the job was not preempted before and can still end on time if the task restarts.
+	MayYield bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Withdraw takes an assigned task back. A task that runs is stopped.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -26,6 +26,14 @@
 	UptimeMS      uint64 `cbor:"6,keyasint,omitempty"`
 	MapVersion    uint64 `cbor:"7,keyasint,omitempty"`
 	ConfigVersion uint64 `cbor:"8,keyasint,omitempty"`
+	// Evacuations is what the sending entry knows of evacuations. Receivers take it from
+	// entries only.
+	Evacuations *Evacuations `cbor:"9,keyasint,omitempty"`
+	// EvacuationVersion is the version of the newest Evacuations that the sending agent
+	// has applied.
+	EvacuationVersion uint64 `cbor:"10,keyasint,omitempty"`
+	// Running is the number of tasks that run at the sending agent.
+	Running uint32 `cbor:"11,keyasint,omitempty"`
 }
 
 // Ping asks the other end for a Pong with the same sequence number.
@@ -33,6 +41,10 @@
 	Seq           uint64 `cbor:"1,keyasint"`
 	MapVersion    uint64 `cbor:"2,keyasint,omitempty"`
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
+	// The following fields are those of Hello.
+	Evacuations       *Evacuations `cbor:"4,keyasint,omitempty"`
+	EvacuationVersion uint64       `cbor:"5,keyasint,omitempty"`
+	Running           uint32       `cbor:"6,keyasint,omitempty"`
 }
 
 // Pong answers a Ping.
@@ -40,6 +52,24 @@
 	Seq           uint64 `cbor:"1,keyasint"`
 	MapVersion    uint64 `cbor:"2,keyasint,omitempty"`
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
+	// The following fields are those of Hello.
+	Evacuations       *Evacuations `cbor:"4,keyasint,omitempty"`
+	EvacuationVersion uint64       `cbor:"5,keyasint,omitempty"`
+	Running           uint32       `cbor:"6,keyasint,omitempty"`
+}
+
+// NewPing returns a Ping with the versions that the sender's Hello states now.
+func NewPing(seq uint64, h Hello) *Ping {
+	return &Ping{
+		Seq: seq, MapVersion: h.MapVersion, ConfigVersion: h.ConfigVersion,
+		Evacuations: h.Evacuations, EvacuationVersion: h.EvacuationVersion, Running: h.Running,
+	}
+}
+
+// NewPong returns a Pong with the versions that the sender's Hello states now.
+func NewPong(seq uint64, h Hello) *Pong {
+	p := Pong(*NewPing(seq, h))
+	return &p
 }
 
 // UpstreamUp reports an upstream beside the agent to an entry. It is sent when an
@@ -109,6 +139,7 @@
 	ReasonClass
 	ReasonDeadline
 	ReasonConfig
+	ReasonEvacuated
 )
 
 var reasonNames = map[Reason]string{
@@ -116,6 +147,7 @@
 	ReasonFenced: "fenced", ReasonQuietHours: "quiet-hours", ReasonLeaving: "leaving",
 	ReasonNoUpstream: "no-upstream", ReasonVoid: "void", ReasonClass: "class-not-served",
 	ReasonDeadline: "deadline-passed", ReasonConfig: "configuration-unknown",
+	ReasonEvacuated: "evacuated",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
