--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -3,6 +3,8 @@
 // requests to drain a host.
 package status
 
+import "time"
+
 // Paths of the operator interface.
 const (
 	// StatusPath serves a Report on GET.
@@ -27,6 +29,27 @@
 	Agents     []Agent     `json:"agents"`
 	Upstreams  []Upstream  `json:"upstreams"`
 	Partitions []Partition `json:"partitions"`
+	// EvacuationVersion is the version of the evacuation requests that the reporting entry
+	// knows, and EvacuationAgeMS the time since that was certainly the newest one.
+	EvacuationVersion uint64       `json:"evacuation_version"`
+	EvacuationAgeMS   int64        `json:"evacuation_age_ms"`
+	Evacuations       []Evacuation `json:"evacuations,omitempty"`
+}
+
+// Evacuation is a data centre in which no task may start.
+type Evacuation struct {
+	DataCentre string `json:"data_centre"`
+	// Since, Author and Reason are those of the request. They are zero if the reporting
+	// entry knows of it only from another entry, or cannot read its row.
+	Since  time.Time `json:"since,omitzero"`
+	Author string    `json:"author,omitempty"`
+	Reason string    `json:"reason,omitempty"`
+	// KnownForMS is the time for which the reporting entry has known of the request.
+	KnownForMS int64 `json:"known_for_ms"`
+	// Running is the number of tasks that still run there.
+	Running int `json:"running"`
+	// Unknown is set if the configuration does not list the data centre.
+	Unknown bool `json:"unknown,omitempty"`
 }
 
 // ProcessState is whether a process takes work, and the reason if it does not.
@@ -55,6 +78,8 @@
 	State         ProcessState `json:"state"`
 	ConfigVersion uint64       `json:"config_version"`
 	MapVersion    uint64       `json:"map_version"`
+	// EvacuationVersion is the version of the evacuation requests that the process knows.
+	EvacuationVersion uint64 `json:"evacuation_version"`
 	// LastMessageAgeMS is the time since its last message; 0 for the reporting entry.
 	LastMessageAgeMS int64 `json:"last_heard_ms"`
 	// Waiting and Running count tasks. They are set for the reporting entry only
@@ -71,6 +96,8 @@
 	State            ProcessState `json:"state"`
 	ConfigVersion    uint64       `json:"config_version"`
 	LastMessageAgeMS int64        `json:"last_heard_ms"`
+	// EvacuationVersion is the version of the evacuation requests that the process knows.
+	EvacuationVersion uint64 `json:"evacuation_version"`
 }
 
 // UpstreamState is whether an upstream gets new work, and the reason if it does not.
@@ -82,6 +109,7 @@
 	UpstreamInQuietHours UpstreamState = "quiet-hours"
 	UpstreamLeaving      UpstreamState = "leaving"
 	UpstreamEjected      UpstreamState = "ejected"
+	UpstreamEvacuated    UpstreamState = "evacuated"
 )
 
 // Upstream is one announced upstream.
@@ -150,32 +178,32 @@
 // force, and the number of all processes. It counts an unreachable process as one
 // that does not have it.
 func (r Report) InForce(version uint64) (have, all int) {
-	count := func(state ProcessState, v uint64) {
-		all++
-		if state != Unreachable && v >= version {
-			have++
-		}
-	}
-	for _, e := range r.Entries {
-		count(e.State, e.ConfigVersion)
-	}
-	for _, a := range r.Agents {
-		count(a.State, a.ConfigVersion)
-	}
-	return have, all
+	all = len(r.Entries) + len(r.Agents)
+	return all - len(r.Lacking(version)), all
 }
 
 // Lacking returns the names of the processes that have neither the version nor a
 // newer one in force. Unreachable processes are among them.
 func (r Report) Lacking(version uint64) []string {
+	return r.behind(func(e Entry) bool { return e.ConfigVersion < version }, func(a Agent) bool { return a.ConfigVersion < version })
+}
+
+// Unaware returns the names of the processes that do not know the version of the
+// evacuation requests or a newer one. Unreachable processes are among them.
+func (r Report) Unaware(version uint64) []string {
+	return r.behind(func(e Entry) bool { return e.EvacuationVersion < version }, func(a Agent) bool { return a.EvacuationVersion < version })
+}
+
+// behind returns the names of the processes that are unreachable or for which late holds.
+func (r Report) behind(lateEntry func(Entry) bool, lateAgent func(Agent) bool) []string {
 	var names []string
 	for _, e := range r.Entries {
-		if e.State == Unreachable || e.ConfigVersion < version {
+		if e.State == Unreachable || lateEntry(e) {
 			names = append(names, "entry "+e.ID)
 		}
 	}
 	for _, a := range r.Agents {
-		if a.State == Unreachable || a.ConfigVersion < version {
+		if a.State == Unreachable || lateAgent(a) {
 			names = append(names, "agent "+a.Host)
 		}
 	}
