--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,6 +79,8 @@
 	lastStart     atomic.Int64
 	running       atomic.Int64
 	registered    atomic.Bool
+	// evacuationVersion is the version of the evacuation requests that the core knows.
+	evacuationVersion atomic.Uint64
 	// renewAfter is the age at which the row is renewed. It is random, so that agents
 	// that start at the same time do not write at the same time.
 	renewAfter time.Duration
@@ -92,11 +94,15 @@
 	partitionMap *membership.Map
 	links        map[string]*transport.Link
 	diallers     *transport.Diallers
+	// evacuationsHeard is when the ping was sent whose answer last told of evacuations, and
+	// evacuationsAsked when the entries were last asked for them.
+	evacuationsHeard, evacuationsAsked time.Duration
 }
 
 // Start starts an agent. It registers in the table and dials the entries in the
 // background; it grants no credit before it is registered.
 func Start(o Options) (*Agent, error) {
+	o.Settings.DataCentre = o.DataCentre
 	a := &Agent{
 		opts: o, start: time.Now(), core: ledger.New(o.Settings, o.Gate), events: make(chan func(ledger.Instant), eventQueueSize),
 		done: make(chan struct{}), drainStarted: make(chan struct{}), follower: configstore.NewFollower(nil),
@@ -173,6 +179,7 @@
 		case <-ticker.C:
 			now := a.now()
 			a.core.Tick(now)
+			a.askForEvacuations(now.Mono)
 			a.diallers.StopRemoved(now.Mono)
 		case <-a.ctx.Done():
 			return
@@ -192,6 +199,8 @@
 			a.lastStart.Store(int64(time.Since(a.start)))
 			a.running.Add(1)
 			go a.call(effect.Start, effect.Address)
+		case ledger.QueryEvacuations:
+			go a.queryEvacuations(effect)
 		}
 	}
 }
@@ -214,6 +223,7 @@
 		Version: wire.ProtocolVersion, Role: wire.RoleAgent, ID: a.opts.Host, Incarnation: a.opts.Incarnation,
 		DataCentre: a.opts.DataCentre, UptimeMS: uint64(time.Since(a.start) / time.Millisecond),
 		MapVersion: a.mapVersion.Load(), ConfigVersion: a.configVersion.Load(),
+		EvacuationVersion: a.evacuationVersion.Load(), Running: uint32(max(a.running.Load(), 0)),
 	}
 }
 
@@ -226,6 +236,8 @@
 			a.core.LinkDown(now, l.Peer.ID)
 		}
 		a.links[l.Peer.ID] = l
+		// The Hello comes before the first start, so a new process knows the requests by then.
+		a.applyView(now, l.Peer.Evacuations, 0)
 		a.core.LinkUp(now, l.Peer.ID)
 	})
 }
@@ -242,9 +254,16 @@
 }
 
 // Receive implements transport.Handler.
-func (a *Agent) Receive(l *transport.Link, m wire.Message, _ time.Time) {
+func (a *Agent) Receive(l *transport.Link, m wire.Message, pingSent time.Time) {
 	switch m := m.(type) {
-	case *wire.Ping, *wire.Pong:
+	case *wire.Ping:
+		a.post(func(now ledger.Instant) { a.applyView(now, m.Evacuations, 0) })
+	case *wire.Pong:
+		sentAfter := time.Duration(0)
+		if !pingSent.IsZero() {
+			sentAfter = pingSent.Sub(a.start)
+		}
+		a.post(func(now ledger.Instant) { a.applyView(now, m.Evacuations, sentAfter) })
 	case *wire.ConfigNotice:
 		a.updateConfigIfNewer(l, m)
 	case *wire.Drain:
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -138,6 +138,7 @@
 		set := metrics.NewSet()
 		set.NewGauge("damasklb_agent_records", nil).Set(float64(n[0]))
 		set.NewGauge("damasklb_agent_running", nil).Set(float64(n[1]))
+		set.NewGauge("damasklb_agent_evacuation_version", nil).Set(float64(a.evacuationVersion.Load()))
 		set.WritePrometheus(w)
 	case <-a.done:
 	}
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -52,6 +52,12 @@
 	return report, err
 }
 
+func (c *adminClient) explain(ctx context.Context, query neturl.Values) (status.DispatchExplanation, error) {
+	var e status.DispatchExplanation
+	err := c.call(ctx, http.MethodGet, status.ExplainPath+"?"+query.Encode(), nil, &e)
+	return e, err
+}
+
 func (c *adminClient) drain(ctx context.Context, host string) (status.DrainResponse, error) {
 	var response status.DrainResponse
 	err := c.call(ctx, http.MethodPost, status.DrainPath, status.DrainRequest{Host: host}, &response)
@@ -88,7 +94,8 @@
 }
 
 // try sends the request to one entry. It returns false if another entry should be
-// tried: no complete response was received, or its status is 500 or above.
+// tried: no complete response was received, its status is 500 or above, or the entry
+// is not the one that can answer.
 func (c *adminClient) try(ctx context.Context, method, url string, body []byte, out any) (bool, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -111,7 +118,8 @@
 		return false, fault.Unavailable.Wrap(err, "entry: read response of %s", url)
 	}
 	if response.StatusCode/100 != 2 {
-		return response.StatusCode < http.StatusInternalServerError, responseError(url, response.StatusCode, raw)
+		definite := response.StatusCode < http.StatusInternalServerError && response.StatusCode != http.StatusMisdirectedRequest
+		return definite, responseError(url, response.StatusCode, raw)
 	}
 	if err := json.Unmarshal(raw, out); err != nil {
 		return true, fault.BadResponse.Wrap(err, "entry: response of %s", url)
@@ -121,6 +129,11 @@
 
 // responseError returns the error that an error response stands for.
 func responseError(url string, code int, raw []byte) error {
+	url, _, _ = strings.Cut(url, "?")
+	var failure status.Failure
+	if json.Unmarshal(raw, &failure) == nil && failure.Error.Message != "" {
+		return questionError(url, code, raw)
+	}
 	var p problem
 	// The message leaves out a body that is not a problem document.
 	_ = json.Unmarshal(raw, &p)
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -38,7 +38,7 @@
 		FlagSet: fs,
 		Subcommands: []*ffcli.Command{
 			newCtlValidate(env), newCtlDiff(env), newCtlApply(env), newCtlShow(env), newCtlHistory(env),
-			newCtlRollback(env), newCtlStatus(env), newCtlDrain(env), newCtlKeys(env),
+			newCtlRollback(env), newCtlStatus(env), newCtlExplain(env), newCtlDrain(env), newCtlKeys(env),
 		},
 		Exec: unknownCommand("damasklb ctl", fs),
 	}
@@ -109,15 +109,20 @@
 	if strings.TrimSpace(reason) == "" {
 		return configstore.Proposal{}, fault.Usage.New("--reason is needed: why the change is made, for the audit trail")
 	}
+	author, host := f.authorAndHost()
+	return configstore.Proposal{ChangeID: configstore.NewChangeID(), Author: author, Host: host, Reason: reason}, nil
+}
+
+// authorAndHost returns who makes a change, and on which host.
+func (f *ctlFlags) authorAndHost() (author, host string) {
 	host, err := os.Hostname()
 	if err != nil {
 		host = "unknown"
 	}
-	author := f.author
-	if author == "" {
-		author = f.defaultAuthor()
+	if f.author != "" {
+		return f.author, host
 	}
-	return configstore.Proposal{ChangeID: configstore.NewChangeID(), Author: author, Host: host, Reason: reason}, nil
+	return f.defaultAuthor(), host
 }
 
 func (f *ctlFlags) defaultAuthor() string {
@@ -133,9 +138,14 @@
 // command completes a ctl command: it adds the settings, the timeout, the check of
 // the number of arguments, and errors as JSON.
 func (f *ctlFlags) command(c *ffcli.Command, argumentCount int) *ffcli.Command {
+	return f.commandWith(c, func() int { return argumentCount })
+}
+
+// commandWith is command for a number of arguments that depends on the flags.
+func (f *ctlFlags) commandWith(c *ffcli.Command, argumentCount func() int) *ffcli.Command {
 	run := c.Exec
 	c.Exec = func(ctx context.Context, args []string) error {
-		if err := checkArguments(c, args, argumentCount); err != nil {
+		if err := checkArguments(c, args, argumentCount()); err != nil {
 			return err
 		}
 		if f.timeout > 0 {
@@ -172,6 +182,8 @@
 type failureDetail struct {
 	Type    string `json:"type"`
 	Message string `json:"message"`
+	// Field is the field or parameter at fault, if it is one.
+	Field string `json:"field,omitempty"`
 	// ConfigVersion and ConfigAuthor are those of the newest version, if a change
 	// was refused because it was not made from that version.
 	ConfigVersion any `json:"config_version,omitempty"`
@@ -180,7 +192,7 @@
 
 // printFailure prints err as JSON and returns it.
 func (f *ctlFlags) printFailure(err error) error {
-	detail := failureDetail{Type: errorx.GetTypeName(err), Message: fault.Text(err)}
+	detail := failureDetail{Type: errorx.GetTypeName(err), Message: fault.Text(err), Field: fault.FieldOf(err)}
 	detail.ConfigVersion, _ = errorx.ExtractProperty(err, fault.ConfigVersion)
 	detail.ConfigAuthor, _ = errorx.ExtractProperty(err, fault.ConfigAuthor)
 	if printErr := printJSON(f.env.Stdout, failureJSON{detail}); printErr != nil {
--- a/internal/cli/ctl_apply.go
+++ b/internal/cli/ctl_apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/damasklb/damasklb/internal/config"
 	"github.com/damasklb/damasklb/internal/configstore"
 	"github.com/damasklb/damasklb/internal/fault"
+	"github.com/damasklb/damasklb/internal/status"
 )
 
 const (
@@ -188,6 +190,13 @@
 // waitInForce requests the status from the entries until all processes have the
 // version in force.
 func (f *ctlFlags) waitInForce(ctx context.Context, version uint64) (*inForceCount, error) {
+	subject := fmt.Sprintf("version %d", version)
+	return f.waitFor(ctx, subject, "accepted", func(r status.Report) []string { return r.Lacking(version) })
+}
+
+// waitFor requests the status from the entries until no process lacks what the subject
+// names and state describes.
+func (f *ctlFlags) waitFor(ctx context.Context, subject, state string, lacking func(status.Report) []string) (*inForceCount, error) {
 	client, err := f.adminClient()
 	if err != nil {
 		return nil, err
@@ -200,11 +209,12 @@
 	for {
 		report, err := client.status(ctx)
 		if err == nil {
-			count.Processes, count.All = report.InForce(version)
-			count.Lacking = report.Lacking(version)
+			count.Lacking = lacking(report)
+			count.All = len(report.Entries) + len(report.Agents)
+			count.Processes = count.All - len(count.Lacking)
 			lastErr = nil
 			if count.All > 0 && count.Processes == count.All {
-				f.printUnlessJSON("version %d in force on %d of %d processes after %.1f s\n", version, count.Processes, count.All, time.Since(started).Seconds())
+				f.printUnlessJSON("%s in force on %d of %d processes after %.1f s\n", subject, count.Processes, count.All, time.Since(started).Seconds())
 				return count, nil
 			}
 		} else if ctx.Err() == nil {
@@ -212,19 +222,19 @@
 		}
 		select {
 		case <-ctx.Done():
-			return count, f.notInForceError(version, count, lastErr)
+			return count, notInForceError(subject, state, count, lastErr)
 		case <-time.After(statusPollInterval):
 		}
 	}
 }
 
-func (f *ctlFlags) notInForceError(version uint64, count *inForceCount, err error) error {
-	text := "version %d is accepted, but in force on %d of %d processes only; lacking: %s"
+func notInForceError(subject, state string, count *inForceCount, err error) error {
+	text := "%s is %s, but in force on %d of %d processes only; lacking: %s"
 	lacking := strings.Join(count.Lacking, ", ")
 	if err != nil {
-		return fault.NotInForce.Wrap(err, text, version, count.Processes, count.All, lacking)
+		return fault.NotInForce.Wrap(err, text, subject, state, count.Processes, count.All, lacking)
 	}
-	return fault.NotInForce.New(text, version, count.Processes, count.All, lacking)
+	return fault.NotInForce.New(text, subject, state, count.Processes, count.All, lacking)
 }
 
 // printUnlessJSON prints text for people. It prints nothing if --json is set.
--- a/internal/cli/ctl_history.go
+++ b/internal/cli/ctl_history.go
@@ -21,13 +21,15 @@
 	f.addTableFlags(fs)
 	count := fs.Int("count", defaultHistory, "largest `number` of versions, the newest first")
 	version := fs.Uint64("version", 0, "show one `version` with all that it changed")
+	evacuations := fs.Bool("evacuations", false, "show the changes of evacuations in place of those of the configuration")
 	return f.command(&ffcli.Command{
 		Name:       "history",
 		ShortUsage: "damasklb ctl history [flags]",
 		ShortHelp:  "show who changed what, when, from where and why",
 		LongHelp: `Examples:
   damasklb ctl history --count 5
-  damasklb ctl history --version 41`,
+  damasklb ctl history --version 41
+  damasklb ctl history --evacuations`,
 		FlagSet: fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			if *count < 1 {
@@ -40,6 +42,9 @@
 			if *version != 0 {
 				return f.showRecord(ctx, store, *version)
 			}
+			if *evacuations {
+				return f.showEvacuationHistory(ctx, store, *count)
+			}
 			records, err := store.History(ctx, *count)
 			if err != nil {
 				return err
@@ -64,6 +69,18 @@
 	f.printTable([]string{"VERSION", "TIME", "AUTHOR", "FROM", "ACTION", "CHANGES", "REASON"}, rows)
 }
 
+func (f *ctlFlags) showEvacuationHistory(ctx context.Context, store *configstore.Store, count int) error {
+	records, err := store.EvacuationHistory(ctx, count)
+	if err != nil {
+		return err
+	}
+	if f.json {
+		return printJSON(f.env.Stdout, records)
+	}
+	f.printEvacuationHistory(records)
+	return nil
+}
+
 func actionText(r configstore.AuditRecord) string {
 	if r.Action == configstore.ActionRollback {
 		return fmt.Sprintf("rollback to %d", r.RollbackTo)
--- a/internal/cli/ctl_status.go
+++ b/internal/cli/ctl_status.go
@@ -51,6 +51,7 @@
 	f.printEntries(r)
 	f.printAgents(r.Agents)
 	f.printUpstreams(r.Upstreams)
+	f.printEvacuations(r)
 	if partitions {
 		f.printPartitions(r.Partitions)
 	}
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/damasklb/damasklb/internal/configstore"
+	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/platform/standin"
 	"github.com/damasklb/damasklb/internal/status"
 )
@@ -56,6 +58,10 @@
 		_, _ = w.Write([]byte(`{"title":"role not allowed","detail":"drain needs role operator"}`))
 		return
 	}
+	if r.URL.Path == status.ExplainPath {
+		answerExplain(w, r)
+		return
+	}
 	if r.URL.Path == status.DrainPath {
 		var request status.DrainRequest
 		_ = json.NewDecoder(r.Body).Decode(&request)
@@ -63,6 +69,7 @@
 		return
 	}
 	_ = json.NewEncoder(w).Encode(e.report)
+	e.readEvacuations(r.Context())
 	row, err := e.table.Get(r.Context(), "config/head")
 	var head struct{ Version uint64 }
 	if err == nil && json.Unmarshal(row.Value, &head) == nil {
@@ -74,6 +81,25 @@
 	}
 }
 
+// readEvacuations puts the requests in the table into the report. While the agent is
+// behind, it does not know of them.
+func (e *fakeEntry) readEvacuations(ctx context.Context) {
+	state, err := configstore.New(e.table).Evacuations(ctx)
+	if err != nil {
+		return
+	}
+	e.report.EvacuationVersion, e.report.Entries[0].EvacuationVersion = state.Version, state.Version
+	if !e.behind {
+		e.report.Agents[0].EvacuationVersion = state.Version
+	}
+	e.report.Evacuations = nil
+	for _, r := range state.Requests {
+		e.report.Evacuations = append(e.report.Evacuations, status.Evacuation{
+			DataCentre: r.DataCentre, Since: r.Time, Author: r.Author, Reason: r.Reason, KnownForMS: 1500, Running: 5,
+		})
+	}
+}
+
 func newFakeEntry(table *standin.Memory) *fakeEntry {
 	return &fakeEntry{table: table, report: status.Report{
 		Entry: "entry-1", ConfigVersion: 1, MapVersion: 7,
@@ -123,6 +149,13 @@
 	s.table.SetFaults(f)
 }
 
+// damage is the script command "damage KEY": it replaces a row by one that cannot be
+// read.
+func (s *scenario) damage(ts *testscript.TestScript, args []string) {
+	_, err := s.table.Commit(context.Background(), platform.Transaction{Writes: []platform.Write{{Key: args[0], Value: []byte("{")}}})
+	ts.Check(err)
+}
+
 // Guards against unnoticed changes of the commands' output, JSON and exit codes, and
 // against scenarios that operators cannot complete: a mistake in a file, a race, an
 // outage, a lost answer, a rollback.
@@ -135,6 +168,7 @@
 		s := &scenario{table: standin.NewMemory()}
 		s.entry = newFakeEntry(s.table)
 		table, entry := httptest.NewServer(s.table.Handler()), httptest.NewServer(s.entry)
+		hosted, agent := httptest.NewServer(http.HandlerFunc(hostedEntry)), httptest.NewServer(http.HandlerFunc(hostedAgent))
 		testscript.Run(t, testscript.Params{
 			Files: []string{file}, UpdateScripts: *update,
 			Setup: func(e *testscript.Env) error {
@@ -142,13 +176,18 @@
 				e.Setenv("EXAMPLES", examples)
 				e.Setenv("TABLE", table.URL)
 				e.Setenv("ENTRY", entry.URL)
+				e.Setenv("HOSTED_ENTRY", hosted.URL)
+				e.Setenv("HOSTED_AGENT", agent.URL)
 				e.Defer(table.Close)
 				e.Defer(entry.Close)
+				e.Defer(hosted.Close)
+				e.Defer(agent.Close)
 				return err
 			},
 			Cmds: map[string]func(*testscript.TestScript, bool, []string){
 				"run":    run,
 				"faults": func(ts *testscript.TestScript, _ bool, args []string) { s.faults(ts, args) },
+				"damage": func(ts *testscript.TestScript, _ bool, args []string) { s.damage(ts, args) },
 				"behind": func(*testscript.TestScript, bool, []string) { s.entry.behind = true },
 			},
 		})
--- a/internal/configstore/concurrent_changes_test.go
+++ b/internal/configstore/concurrent_changes_test.go
@@ -102,8 +102,11 @@
 	return a.table.Get(ctx, key)
 }
 
-func (a *actor) List(context.Context, string) ([]platform.Row, error) {
-	return nil, fault.Unavailable.New("not used")
+func (a *actor) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := a.waitForTurn(); err != nil {
+		return nil, err
+	}
+	return a.table.List(ctx, prefix)
 }
 
 func (a *actor) Commit(ctx context.Context, t platform.Transaction) ([]uint64, error) {
--- a/internal/configstore/follower.go
+++ b/internal/configstore/follower.go
@@ -79,13 +79,35 @@
 // version in force. It reports whether the version in force has changed. It
 // must not be called on a follower without a table.
 func (f *Follower) Poll(ctx context.Context) (bool, error) {
-	head, err := f.store.Head(ctx)
-	if err != nil || head.Version <= f.Version() {
-		return false, err
+	_, changed, err := f.PollEvacuations(ctx)
+	return changed, err
+}
+
+// PollEvacuations does what Poll does, and returns the evacuation requests, which are
+// read with the head row in one call. They are nil if the call has failed; an error of
+// the configuration alone does not withhold them.
+func (f *Follower) PollEvacuations(ctx context.Context) (*Evacuations, bool, error) {
+	rows, err := f.store.table.List(ctx, HeadKey)
+	if err != nil {
+		return nil, false, err
+	}
+	evacuations := ParseEvacuations(rows)
+	var head Head
+	for _, row := range rows {
+		if row.Key != HeadKey {
+			continue
+		}
+		if err := decodeRow(HeadKey, row.Value, &head); err != nil {
+			return evacuations, false, err
+		}
+	}
+	if head.Version <= f.Version() {
+		return evacuations, false, nil
 	}
 	content, err := f.store.Content(ctx, head.Version)
 	if err != nil {
-		return false, err
+		return evacuations, false, err
 	}
-	return f.UpdateIfNewer(head.Version, content)
+	changed, err := f.UpdateIfNewer(head.Version, content)
+	return evacuations, changed, err
 }
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -140,20 +140,32 @@
 	if err != nil {
 		return AuditRecord{}, err
 	}
+	var record AuditRecord
+	err = s.retry(ctx, p.ChangeID, func(sent *bool) error {
+		record, err = s.tryCommit(ctx, p, proposed, sent)
+		return err
+	})
+	return record, err
+}
+
+// retry calls try until its outcome is known or ctx ends. try sets sent before it sends
+// a transaction; after that, an error of type fault.Unavailable means that the outcome
+// is unknown.
+func (s *Store) retry(ctx context.Context, changeID string, try func(sent *bool) error) error {
 	sent := false
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
-		record, err := s.tryCommit(ctx, p, proposed, &sent)
+		err := try(&sent)
 		if !errorx.IsOfType(err, fault.Unavailable) {
-			return record, err
+			return err
 		}
 		jittered := backoff/2 + rand.N(backoff/2)
 		if s.wait(ctx, jittered) == nil {
 			continue
 		}
 		if sent {
-			return AuditRecord{}, fault.ChangeUnknown.Wrap(err, "it is not known whether change %s has taken effect or will", p.ChangeID)
+			return fault.ChangeUnknown.Wrap(err, "it is not known whether change %s has taken effect or will", changeID)
 		}
-		return AuditRecord{}, fault.Unavailable.Wrap(err, "change %s was not sent", p.ChangeID)
+		return fault.Unavailable.Wrap(err, "change %s was not sent", changeID)
 	}
 }
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -27,17 +27,31 @@
 	if s.disabled&Admission != 0 {
 		return Decision{Verdict: Admitted}
 	}
+	d, _ := s.judge(now, r)
+	switch d.Verdict {
+	case Overloaded, OverQuota:
+		s.addRefusedWork(now, r)
+		d.RetryAfter = s.jitter(d.RetryAfter)
+	case NoUpstream:
+		d.RetryAfter = s.jitter(d.RetryAfter)
+	}
+	return d
+}
+
+// judge returns the decision about a job, with the time to retry before the random part, and
+// the longest wait that is accepted. It changes nothing, so explanations use it as well.
+func (s *Scheduler) judge(now time.Duration, r AdmitRequest) (Decision, time.Duration) {
 	k := s.classes[r.Class]
 	if s.impossible(now, r, k) {
-		return Decision{Verdict: Impossible}
+		return Decision{Verdict: Impossible}, 0
 	}
 	if k == nil || !served(k) {
-		return Decision{Verdict: NoUpstream, RetryAfter: s.jitter(noUpstreamRetry)}
+		return Decision{Verdict: NoUpstream, RetryAfter: noUpstreamRetry}, 0
 	}
-	return s.admitByWait(now, r, k)
+	return s.judgeWait(now, r, k)
 }
 
-func (s *Scheduler) admitByWait(now time.Duration, r AdmitRequest, k *class) Decision {
+func (s *Scheduler) judgeWait(now time.Duration, r AdmitRequest, k *class) (Decision, time.Duration) {
 	left := float64(r.Deadline - now)
 	if !k.stale(now) {
 		left -= s.lastTaskTime(r, k)
@@ -54,27 +68,30 @@
 	case wait.shared > allowed:
 		d.Verdict = Overloaded
 	default:
-		return d
+		return d, time.Duration(allowed)
 	}
 	excess := max(0, float64(d.Wait)-allowed)
-	d.RetryAfter = s.jitter(time.Duration(excess) + s.resubmissionDelay(now, r, k))
-	return d
+	work, rate := s.refusedWork(now, s.peekCaller(r.Caller))
+	d.RetryAfter = time.Duration(excess) + time.Duration(min(work/rate, float64(maxRetry)))
+	return d, time.Duration(allowed)
 }
 
-// resubmissionDelay returns the time in which the caller's share serves its work
-// that was refused before and is expected to be submitted again. It adds the
-// refused job to that work.
-func (s *Scheduler) resubmissionDelay(now time.Duration, r AdmitRequest, k *class) time.Duration {
-	c := s.peekCaller(r.Caller)
-	rate := s.capacity() * c.weight / s.activeWeight(c)
+// refusedWork returns the caller's work that was refused before and is expected to be
+// submitted again, and the rate at which the caller's share serves it.
+func (s *Scheduler) refusedWork(now time.Duration, c *caller) (work, rate float64) {
+	rate = s.capacity() * c.weight / s.activeWeight(c)
 	if c.maxSlots > 0 {
 		rate = min(rate, float64(c.maxSlots))
 	}
-	c.refusedWork = max(0, c.refusedWork-rate*float64(now-c.refusedAt))
+	return max(0, c.refusedWork-rate*float64(now-c.refusedAt)), rate
+}
+
+// addRefusedWork adds a refused job to that work.
+func (s *Scheduler) addRefusedWork(now time.Duration, r AdmitRequest) {
+	c := s.peekCaller(r.Caller)
+	c.refusedWork, _ = s.refusedWork(now, c)
 	c.refusedAt = now
-	delay := c.refusedWork / rate
-	c.refusedWork += float64(r.Tasks) * k.slotTime()
-	return time.Duration(min(delay, float64(maxRetry)))
+	c.refusedWork += float64(r.Tasks) * s.classes[r.Class].slotTime()
 }
 
 // activeWeight returns the sum of the weights of the active callers and c.
@@ -272,8 +289,11 @@
 	return 1 - float64(passed)/float64(span)
 }
 
+// retryTime bounds a time to retry.
+func retryTime(d time.Duration) time.Duration { return min(max(d, minRetry), maxRetry) }
+
 func (s *Scheduler) jitter(d time.Duration) time.Duration {
-	d = min(max(d, minRetry), maxRetry)
+	d = retryTime(d)
 	return d + time.Duration(retryJitter*s.rand.Float64()*float64(d))
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -244,16 +244,21 @@
 		if s.disabled&Placement != 0 {
 			return g
 		}
-		roundTrip := float64(2 * g.distance)
-		refused := s.refusalRate[bits.Len32(g.filledLevels)-1]
-		cost := roundTrip + refused*(roundTrip+float64(refusalCost))
-		if best == nil || cost < bestCost {
+		roundTrip, refusals := s.cost(g, bits.Len32(g.filledLevels)-1)
+		if cost := roundTrip + refusals; best == nil || cost < bestCost {
 			best, bestCost = g, cost
 		}
 	}
 	return best
 }
 
+// cost returns the parts of the cost of a start in a group whose highest credit level is
+// given: the round trip and the delay that is expected from refused starts.
+func (s *Scheduler) cost(g *group, level int) (roundTrip, refusals float64) {
+	roundTrip = float64(2 * g.distance)
+	return roundTrip, s.refusalRate[level] * (roundTrip + float64(refusalCost))
+}
+
 // updateRefusalRate updates the share of refused starts at a credit level.
 func (s *Scheduler) updateRefusalRate(level int, refused bool) {
 	x := 0.0
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -30,6 +30,7 @@
 
 func (e *Entry) adminRoutes(r *mux.Router) {
 	r.Handle(status.StatusPath, e.requireOperator(config.RoleViewer, e.getStatus)).Methods(http.MethodGet)
+	r.Handle(status.ExplainPath, e.requireOperator(config.RoleViewer, e.getExplanation)).Methods(http.MethodGet)
 	r.Handle(status.ConfigPath, e.requireOperator(config.RoleOperator, e.postConfig)).Methods(http.MethodPost)
 	r.Handle(status.DrainPath, e.requireOperator(config.RoleOperator, e.postDrain)).Methods(http.MethodPost)
 }
@@ -53,15 +54,28 @@
 	p.lastMessage = now
 	switch m := m.(type) {
 	case *wire.Ping:
-		p.hello.MapVersion, p.hello.ConfigVersion = m.MapVersion, m.ConfigVersion
+		p.recordVersions(m)
 	case *wire.Pong:
-		p.hello.MapVersion, p.hello.ConfigVersion = m.MapVersion, m.ConfigVersion
+		p.recordVersions((*wire.Ping)(m))
 	default:
 		return
 	}
 	e.sendConfigIfNewer(l, p.hello.ConfigVersion)
 }
 
+func (p *peerInfo) recordVersions(m *wire.Ping) {
+	p.hello.MapVersion, p.hello.ConfigVersion = m.MapVersion, m.ConfigVersion
+	p.hello.Evacuations, p.hello.EvacuationVersion, p.hello.Running = m.Evacuations, m.EvacuationVersion, m.Running
+}
+
+// evacuationVersion returns the version of the evacuation requests that the peer knows.
+func (p *peerInfo) evacuationVersion() uint64 {
+	if p.hello.Role == wire.RoleEntry && p.hello.Evacuations != nil {
+		return p.hello.Evacuations.Version
+	}
+	return p.hello.EvacuationVersion
+}
+
 func (e *Entry) getStatus(w http.ResponseWriter, r *http.Request) {
 	reply := make(chan status.Report, 1)
 	e.post(func(now time.Duration) { reply <- e.report(now) })
@@ -93,6 +107,7 @@
 		r.Entries = append(r.Entries, e.reportEntry(now, member))
 	}
 	e.reportAgents(now, &r)
+	e.reportEvacuations(now, &r)
 	for p, state := range m.Partitions {
 		partition := status.Partition{Number: p, Owner: state.Owner, Epoch: state.Epoch, State: status.PartitionServing}
 		switch {
@@ -113,6 +128,7 @@
 	}
 	if member.ID == e.opts.ID {
 		s.ConfigVersion, s.MapVersion = e.configVersion.Load(), e.mapVersion.Load()
+		s.EvacuationVersion = e.core.KnownEvacuations().Version()
 		s.Waiting, s.Running = e.core.TaskCounts()
 		s.State = e.ownState()
 		return s
@@ -122,7 +138,7 @@
 		s.State = status.Unreachable
 		return s
 	}
-	s.ConfigVersion, s.MapVersion = p.hello.ConfigVersion, p.hello.MapVersion
+	s.ConfigVersion, s.MapVersion, s.EvacuationVersion = p.hello.ConfigVersion, p.hello.MapVersion, p.evacuationVersion()
 	s.LastMessageAgeMS = (now - p.lastMessage).Milliseconds()
 	switch {
 	case now-p.lastMessage > unreachableAfter:
@@ -149,7 +165,7 @@
 	for _, a := range e.core.Agents(now) {
 		s := status.Agent{Host: a.Host, Incarnation: a.Incarnation, DataCentre: a.DataCentre, State: status.Serving}
 		if p := e.peers[a.Host]; p != nil && p.hello.Incarnation == a.Incarnation {
-			s.ConfigVersion = p.hello.ConfigVersion
+			s.ConfigVersion, s.EvacuationVersion = p.hello.ConfigVersion, p.evacuationVersion()
 			s.LastMessageAgeMS = (now - p.lastMessage).Milliseconds()
 		}
 		switch {
@@ -164,6 +180,9 @@
 			if u.InQuietHours {
 				state = status.UpstreamInQuietHours
 			}
+			if u.Evacuated {
+				state = status.UpstreamEvacuated
+			}
 			r.Upstreams = append(r.Upstreams, status.Upstream{
 				Host: a.Host, Service: u.ID.Service, Site: u.Site, DataCentre: a.DataCentre, Classes: u.Classes,
 				Slots: u.Slots, Running: u.Running, State: state,
@@ -172,64 +191,3 @@
 	}
 	sort.Slice(r.Agents, func(i, j int) bool { return r.Agents[i].Host < r.Agents[j].Host })
 }
-
-func (e *Entry) postDrain(w http.ResponseWriter, r *http.Request) {
-	var req status.DrainRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil || req.Host == "" {
-		http.Error(w, `the body must be {"host": "NAME"}`, http.StatusBadRequest)
-		return
-	}
-	reply := make(chan *status.DrainResponse, 1)
-	e.post(func(now time.Duration) { reply <- e.drain(now, req.Host) })
-	select {
-	case response := <-reply:
-		if response == nil {
-			http.Error(w, "no linked entry or agent has this name", http.StatusNotFound)
-			return
-		}
-		writeJSON(w, http.StatusOK, response)
-	case <-e.stopped:
-		http.Error(w, "the entry has stopped", http.StatusServiceUnavailable)
-	}
-}
-
-// drain asks an entry, by id or host, or an agent, by host, to drain. It returns
-// nil if there is no link to such a process.
-func (e *Entry) drain(now time.Duration, host string) *status.DrainResponse {
-	if host == e.opts.ID || host == e.opts.Host && e.core.Map() != nil {
-		e.requestDrain()
-		_, running := e.core.TaskCounts()
-		return &status.DrainResponse{Host: host, Role: "entry", State: status.Draining, Running: running}
-	}
-	id, role := host, "agent"
-	if m := e.core.Map(); m != nil {
-		for _, member := range m.Members {
-			if member.ID == host || member.Host == host {
-				id, role = member.ID, "entry"
-			}
-		}
-	}
-	l := e.links[id]
-	if l == nil {
-		return nil
-	}
-	e.send(l, &wire.Drain{})
-	response := &status.DrainResponse{Host: host, Role: role, State: status.Draining}
-	for _, a := range e.core.Agents(now) {
-		for _, u := range a.Upstreams {
-			if a.Host == id {
-				response.Running += u.Running
-			}
-		}
-	}
-	return response
-}
-
-// requestDrain asks the process to drain and then to end.
-func (e *Entry) requestDrain() {
-	e.drainOnce.Do(func() { close(e.drainRequested) })
-}
-
-// DrainRequested returns a channel that is closed when an operator has asked the entry
-// to drain.
-func (e *Entry) DrainRequested() <-chan struct{} { return e.drainRequested }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -27,7 +27,7 @@
 	defer e.wg.Done()
 	for e.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(e.ctx, tableTimeout)
-		if _, err := e.follower.Poll(ctx); err != nil {
+		if err := e.pollTable(ctx); err != nil {
 			tableErrors("read_config").Inc()
 		}
 		cancel()
@@ -36,6 +36,17 @@
 	}
 }
 
+// pollTable reads the configuration and, in the same call, the evacuation requests. The
+// requests take effect first, so that an entry does not serve before it knows them.
+func (e *Entry) pollTable(ctx context.Context) error {
+	requestedAt := e.now()
+	rows, _, err := e.follower.PollEvacuations(ctx)
+	if rows != nil {
+		e.evacuationsRead(requestedAt, rows)
+	}
+	return err
+}
+
 // updateConfigIfNewer puts a version from a peer in force if it is newer.
 func (e *Entry) updateConfigIfNewer(n *wire.ConfigNotice) {
 	if _, err := e.follower.UpdateIfNewer(n.Version, n.Content); err != nil {
@@ -55,7 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), tableTimeout)
 	defer cancel()
-	_, err := e.follower.Poll(ctx)
+	err := e.pollTable(ctx)
 	if err != nil && len(push.Content) > 0 {
 		_, err = e.follower.UpdateIfNewer(push.Version, push.Content)
 	}
@@ -88,6 +99,7 @@
 	e.opts.Log.Info("configuration in force", "version", s.Version)
 	e.post(func(now time.Duration) {
 		e.configure(now, s.Config)
+		e.warnOfEvacuations(e.evacuations.Load())
 		for _, l := range e.links {
 			e.send(l, &wire.ConfigNotice{Version: s.Version, Content: s.Content})
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/damasklb/damasklb/internal/auth"
 	"github.com/damasklb/damasklb/internal/configstore"
 	"github.com/damasklb/damasklb/internal/dispatch"
+	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/gate"
 	"github.com/damasklb/damasklb/internal/membership"
@@ -105,6 +106,10 @@
 	drainRequested chan struct{}
 	drainOnce      sync.Once
 	upstreams      atomic.Int64
+	// evacuations is a copy of what the core knows of evacuations, nil before it knows any.
+	evacuations atomic.Pointer[evacuation.Tracker]
+	// evacuationRows is what the entry last read from the table, for status pages.
+	evacuationRows atomic.Pointer[configstore.Evacuations]
 
 	// Only the core's goroutine uses the fields below.
 	links          map[string]*transport.Link
@@ -113,6 +118,12 @@
 	diallers       *transport.Diallers
 	pendingReplies map[uint64]chan *wire.Answer
 	nextPing       time.Duration
+	// warnedEvacuations holds the versions of the requests of unknown data centres that
+	// were logged, warnedUnreadable those of unreadable requests, warnedAllEvacuated whether
+	// it was logged that no data centre is left.
+	warnedEvacuations  map[string]uint64
+	warnedUnreadable   map[string]uint64
+	warnedAllEvacuated bool
 }
 
 // Start starts an entry. It returns when its ports are open; the entry is ready
@@ -123,6 +134,8 @@
 		firstReady: make(chan struct{}),
 		follower:   configstore.NewFollower(o.Table), drainRequested: make(chan struct{}), firstConfig: make(chan struct{}),
 		links: map[string]*transport.Link{}, peers: map[string]*peerInfo{}, pendingReplies: map[uint64]chan *wire.Answer{},
+		warnedEvacuations: map[string]uint64{},
+		warnedUnreadable:  map[string]uint64{},
 	}
 	e.auth = &auth.Authenticator{CurrentConfig: e.config, Dev: o.Dev}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -320,11 +333,15 @@
 
 // Hello implements transport.Handler.
 func (e *Entry) Hello() wire.Hello {
-	return wire.Hello{
+	h := wire.Hello{
 		Version: wire.ProtocolVersion, Role: wire.RoleEntry, ID: e.opts.ID, Incarnation: e.opts.ID,
 		DataCentre: e.opts.DataCentre, UptimeMS: uint64(e.now() / time.Millisecond),
 		MapVersion: e.mapVersion.Load(), ConfigVersion: e.configVersion.Load(),
 	}
+	if known := e.evacuations.Load(); known != nil {
+		h.Evacuations = known.View(e.now())
+	}
+	return h
 }
 
 // LinkUp implements transport.Handler. It reports the end of a replaced link to
@@ -336,6 +353,7 @@
 		}
 		e.links[l.Peer.ID] = l
 		e.recordPeer(now, l, nil)
+		e.applyView(now, l, l.Peer.Evacuations, 0)
 		e.sendConfigIfNewer(l, l.Peer.ConfigVersion)
 		e.core.LinkUp(now, l.Peer)
 	})
@@ -363,12 +381,14 @@
 		e.recordPeer(now, l, m)
 		switch m := m.(type) {
 		case *wire.Ping:
+			e.applyView(now, l, m.Evacuations, 0)
 		case *wire.ConfigNotice:
 			go e.updateConfigIfNewer(m)
 		case *wire.Drain:
 			e.requestDrain()
 		case *wire.Pong:
 			if l.Peer.Role == wire.RoleEntry && !pingSent.IsZero() {
+				e.applyView(now, l, m.Evacuations, pingSent.Sub(e.start))
 				e.core.MapConfirmed(pingSent.Sub(e.start), l.Peer.ID, m.MapVersion)
 			}
 		default:
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -23,14 +23,18 @@
 type coreMetrics struct {
 	owner.Counters
 	waiting, running int
+	evacuated        int
+	evacuationAge    time.Duration
 }
 
 // writeMetrics writes the process's metrics and the core's totals.
 func (e *Entry) writeMetrics(w io.Writer) {
 	metrics.WritePrometheus(w, true)
 	values := make(chan coreMetrics, 1)
-	e.post(func(time.Duration) {
+	e.post(func(now time.Duration) {
 		m := coreMetrics{Counters: e.core.Counters()}
+		known := e.core.KnownEvacuations()
+		m.evacuated, m.evacuationAge = len(known.Requests()), known.Age(now)
 		m.waiting, m.running = e.core.TaskCounts()
 		values <- m
 	})
@@ -61,13 +65,15 @@
 		ready = 1
 	}
 	for name, value := range map[string]float64{
-		"damasklb_ready":            ready,
-		"damasklb_upstreams":        float64(e.UpstreamCount()),
-		"damasklb_tasks_waiting":    float64(m.waiting),
-		"damasklb_tasks_running":    float64(m.running),
-		"damasklb_config_version":   float64(e.configVersion.Load()),
-		"damasklb_map_version":      float64(e.mapVersion.Load()),
-		"damasklb_takeover_seconds": m.TakeoverTime.Seconds(),
+		"damasklb_ready":                  ready,
+		"damasklb_upstreams":              float64(e.UpstreamCount()),
+		"damasklb_tasks_waiting":          float64(m.waiting),
+		"damasklb_tasks_running":          float64(m.running),
+		"damasklb_config_version":         float64(e.configVersion.Load()),
+		"damasklb_map_version":            float64(e.mapVersion.Load()),
+		"damasklb_takeover_seconds":       m.TakeoverTime.Seconds(),
+		"damasklb_evacuations":            float64(m.evacuated),
+		"damasklb_evacuation_age_seconds": m.evacuationAge.Seconds(),
 	} {
 		set.NewGauge(name, nil).Set(value)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,13 +7,15 @@
 //   - A task has at most one record with a start, whatever the attempt.
 //   - An attempt that was refused or queried without a record never starts.
 //   - No task starts below the fence of its partition, on an expired or spent
-//     credit, at a closed site, or on an upstream that is leaving.
+//     credit, at a closed site, in a data centre that the agent knows to be evacuated,
+//     or on an upstream that is leaving.
 package ledger
 
 import (
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/invariant"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -50,6 +52,11 @@
 	AnnounceTTL time.Duration
 	// ReplyRecords is the number of records in one part of a reply to a fence.
 	ReplyRecords int
+	// DataCentre is where the agent and its upstreams are.
+	DataCentre string
+	// EvacuationQueryAge is the age of the agent's knowledge of evacuations above which it
+	// reads the requests from the table itself.
+	EvacuationQueryAge time.Duration
 }
 
 // DefaultSettings returns the limits that the design page gives.
@@ -60,6 +67,7 @@
 		Reservation:        time.Second,
 		AnnounceTTL:        3 * time.Second,
 		ReplyRecords:       4096,
+		EvacuationQueryAge: 15 * time.Second,
 	}
 }
 
@@ -72,7 +80,7 @@
 	Slots   int
 }
 
-// Effect is an action for the I/O layer to carry out: Send or Run.
+// Effect is an action for the I/O layer to carry out: Send, Run or QueryEvacuations.
 type Effect interface{ effect() }
 
 // Send sends a message to an entry, if there is a link to it.
@@ -122,6 +130,12 @@
 	// replySerial is the number of the last reply to a fence.
 	replySerial uint64
 	effects     []Effect
+
+	evacuations evacuation.Tracker
+	// evacuationQueries counts the queries since the knowledge of evacuations was recent;
+	// evacuationQueriedAt is the time of the last one.
+	evacuationQueries   int
+	evacuationQueriedAt time.Duration
 }
 
 type expiryItem struct {
@@ -299,6 +313,9 @@
 	if reason, opens := l.gate.Check(now.Wall, u.info.Site, m.Class); reason != 0 {
 		return reason, opens
 	}
+	if l.evacuated() {
+		return wire.ReasonEvacuated, 0
+	}
 	if !u.slots.Acquire(now.Mono, entry) {
 		return wire.ReasonNoSlot, 0
 	}
@@ -439,6 +456,7 @@
 
 // Tick expires announcements, reservations, records and credits.
 func (l *Ledger) Tick(now Instant) {
+	l.queryEvacuations(now.Mono)
 	for _, u := range l.upstreams {
 		if !u.leaving && now.Mono-u.announced > l.settings.AnnounceTTL {
 			l.remove(u)
--- a/internal/ledger/upstream.go
+++ b/internal/ledger/upstream.go
@@ -134,7 +134,7 @@
 // renewCredit renews the entry's credit and returns it.
 func (l *Ledger) renewCredit(now Instant, u *upstream, entry string) wire.Credit {
 	count := 0
-	if !u.leaving && u.siteOpen && !l.suspended {
+	if !u.leaving && u.siteOpen && !l.suspended && !l.evacuated() {
 		count = u.slots.Offered(now.Mono, entry)
 	}
 	g := u.grant(entry)
--- a/internal/owner/answers.go
+++ b/internal/owner/answers.go
@@ -23,6 +23,7 @@
 	ProblemOverload        Problem = "overload"
 	ProblemNoUpstream      Problem = "no-upstream"
 	ProblemQuietHours      Problem = "quiet-hours"
+	ProblemEvacuated       Problem = "evacuated"
 	ProblemNotReady        Problem = "not-ready"
 	ProblemOutcomeUnknown  Problem = "outcome-unknown"
 	ProblemTaskFailed      Problem = "task-failed"
@@ -85,6 +86,7 @@
 	ProblemOverload:        {http.StatusServiceUnavailable, "The job would not end before its deadline", StateRefused},
 	ProblemNoUpstream:      {http.StatusServiceUnavailable, "No upstream serves the class now", StateRefused},
 	ProblemQuietHours:      {http.StatusServiceUnavailable, "All sites of the class are in their quiet hours", StateRefused},
+	ProblemEvacuated:       {http.StatusServiceUnavailable, "All data centres that serve the class are being evacuated", StateRefused},
 	ProblemNotReady:        {http.StatusServiceUnavailable, "The entry is not ready", StateRefused},
 	ProblemOutcomeUnknown:  {http.StatusServiceUnavailable, "It is not known whether the job has run", StateFailed},
 	ProblemTaskFailed:      {http.StatusBadGateway, "A task failed", StateFailed},
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/dispatch"
+	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/membership"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -145,6 +146,8 @@
 	rebase    *rebase
 	agents    map[string]*agent
 	peers     map[string]bool
+	// evacuations are the operators' requests that nothing starts in a data centre.
+	evacuations evacuation.Tracker
 	// linkedMembers and linkedAgents are asked in turn to store job records.
 	linkedMembers rotation
 	linkedAgents  rotation
--- a/internal/owner/credits.go
+++ b/internal/owner/credits.go
@@ -66,6 +66,15 @@
 		return
 	}
 	u.expires = now + time.Duration(float64(m.TTLMS)*creditSafety)*time.Millisecond
+	c.offerUpstream(now, a, u)
+}
+
+// offerUpstream reports an upstream and its credits to the policy, unless its data centre
+// is being evacuated: the policy must neither use it nor count on its slots.
+func (c *Core) offerUpstream(now time.Duration, a *agent, u *upstream) {
+	if c.evacuations.Evacuated(a.dataCentre) {
+		return
+	}
 	info := u.info
 	info.Credits = u.account.Available()
 	info.Expires = u.expires
@@ -114,7 +123,7 @@
 	var accounts []*credit.Account
 	for _, host := range sortedKeys(c.agents) {
 		a := c.agents[host]
-		if !a.up {
+		if !a.up || c.evacuations.Evacuated(a.dataCentre) {
 			continue
 		}
 		for _, service := range sortedKeys(a.upstreams) {
--- a/internal/owner/inspect.go
+++ b/internal/owner/inspect.go
@@ -21,6 +21,8 @@
 	dispatch.Upstream
 	// Running counts the tasks that this entry has sent there and that are open.
 	Running int
+	// Evacuated is set while the data centre is being evacuated.
+	Evacuated bool
 	// InQuietHours is set while the site is known to be in its quiet hours.
 	InQuietHours bool
 }
@@ -39,6 +41,7 @@
 			u := a.upstreams[service]
 			info.Upstreams = append(info.Upstreams, UpstreamInfo{
 				Upstream: u.info, Running: running[service], InQuietHours: now < u.quietUntil,
+				Evacuated: c.evacuations.Evacuated(a.dataCentre),
 			})
 		}
 		list = append(list, info)
--- a/internal/owner/jobs.go
+++ b/internal/owner/jobs.go
@@ -212,18 +212,16 @@
 // admit asks the policy and makes a new job.
 func (c *Core) admit(now time.Duration, o *ownership, s Submission, w waiter, witnessed bool) {
 	j := c.newJob(now, o, s, w, witnessed)
-	if s.Problem != "" {
-		c.refuse(now, j, ProblemAnswer(s.Problem, s.Job.String(), s.Detail, true, 0, 0))
+	if problem, retry := s.excludedBy(now); problem != "" {
+		c.refuse(now, j, ProblemAnswer(problem, s.Job.String(), s.Detail, true, 0, retry))
 		return
 	}
-	if s.OpensIn > 0 && now+s.OpensIn >= s.Deadline {
-		c.refuse(now, j, ProblemAnswer(ProblemQuietHours, s.Job.String(), "", true, 0, s.OpensIn))
+	d := c.policy.Admit(now, s.admitRequest(len(s.Payloads)))
+	if d.Verdict == dispatch.NoUpstream && c.onlyEvacuated(s.Class) {
+		c.refuse(now, j, ProblemAnswer(ProblemEvacuated, s.Job.String(), "", true, 0, d.RetryAfter))
 		return
 	}
-	d := c.policy.Admit(now, dispatch.AdmitRequest{
-		Caller: s.Caller, Class: s.Class, Tasks: len(s.Payloads), Declared: s.Declared, Deadline: s.Deadline,
-	})
-	if problem, refused := verdictProblems[d.Verdict]; refused && !c.awaitsUpstreams(now, d.Verdict) {
+	if problem, refused := c.refusedBy(now, d.Verdict); refused {
 		c.refuse(now, j, ProblemAnswer(problem, s.Job.String(), "", true, 0, d.RetryAfter))
 		return
 	}
@@ -275,6 +273,7 @@
 		return
 	}
 	j.queued = true
+	defer c.refuseIfEvacuated(now, j)
 	for i := range j.tasks {
 		if j.tasks[i].state == taskQueued {
 			c.enqueue(now, j, i)
--- a/internal/owner/scenario_test.go
+++ b/internal/owner/scenario_test.go
@@ -25,6 +25,8 @@
 	now   time.Duration
 	m     *membership.Map
 	token uint64
+	// asked is whether an operator asks for explanations after each command.
+	asked bool
 }
 
 // Guards against unintended changes of the messages and answers that an entry gives
@@ -66,6 +68,9 @@
 	default:
 		s.c.Receive(s.now, from, scanMessage(t, d))
 	}
+	if s.asked {
+		s.ask()
+	}
 	return s.effects()
 }
 
--- a/internal/owner/tasks.go
+++ b/internal/owner/tasks.go
@@ -208,6 +208,7 @@
 		return
 	}
 	c.enqueue(now, j, int(m.Task.Index))
+	c.refuseIfEvacuated(now, j)
 }
 
 // recordQuietHours stops starts at an upstream until the quiet hours of its site end.
--- a/internal/protocoltest/agent_test.go
+++ b/internal/protocoltest/agent_test.go
@@ -38,7 +38,9 @@
 func (sim *simulation) startAgent(host string) *agentProc {
 	a := &agentProc{process: sim.newProcess(host, sim.nextID("a", host)), dialled: map[string]*link{}, knownEntries: map[string]bool{}}
 	sim.trace("start agent %s", a.id)
-	a.core = ledger.New(ledgerSettings(), ledger.OpenGate{})
+	settings := ledgerSettings()
+	settings.DataCentre = sim.checkedDataCentre(host)
+	a.core = ledger.New(settings, ledger.OpenGate{})
 	a.carryOut = a.effects
 	a.slots = 2 + sim.rng.IntN(3)
 	sim.agents[host] = a
@@ -86,13 +88,14 @@
 
 func (a *agentProc) hello() wire.Hello {
 	return wire.Hello{
-		Version: wire.ProtocolVersion, Role: wire.RoleAgent, ID: a.host, Incarnation: a.id,
+		Version: wire.ProtocolVersion, Role: wire.RoleAgent, ID: a.host, Incarnation: a.id, DataCentre: a.sim.dataCentre(a.host),
 		UptimeMS: uint64(a.clock() / time.Millisecond),
 	}
 }
 
 func (a *agentProc) linkUp(l *link, h wire.Hello) {
 	a.links[h.ID] = l
+	a.applyView(h.Evacuations, 0)
 	a.core.LinkUp(a.time(), h.ID)
 }
 
@@ -107,7 +110,9 @@
 	switch m := m.(type) {
 	case *wire.Ping:
 		l.send(l.side(&a.process), &wire.Pong{Seq: m.Seq})
+		a.applyView(m.Evacuations, 0)
 	case *wire.Pong:
+		a.applyView(m.Evacuations, time.Duration(float64(time.Duration(m.Seq)-a.startedAt)*a.rate))
 	case *wire.MapNotice:
 		next, err := membership.Decode(m.Row)
 		if err != nil {
@@ -145,6 +150,8 @@
 			}
 		case ledger.Run:
 			a.call(effect.Start)
+		case ledger.QueryEvacuations:
+			a.queryEvacuations()
 		}
 	}
 }
--- a/internal/protocoltest/check_test.go
+++ b/internal/protocoltest/check_test.go
@@ -28,6 +28,13 @@
 	// confirmations.
 	tableReadAt     map[string]time.Duration
 	peerConfirmedAt map[string]map[string]time.Duration
+	// evacuations holds the newest state that has reached each agent process, recorded
+	// independently of the cores. empty is the data centre in which nothing may start at
+	// all, because its evacuation was requested long ago and no fault is active.
+	evacuations map[string]*wire.Evacuations
+	empty       string
+	// startsIn counts the starts by data centre.
+	startsIn map[string]int
 }
 
 type taskStart struct {
@@ -58,6 +65,7 @@
 		refusalIssuedAt: map[string]time.Duration{},
 		fences:          map[string]*[wire.PartitionCount]uint64{}, grants: map[[2]string]grant{},
 		tableReadAt: map[string]time.Duration{}, peerConfirmedAt: map[string]map[string]time.Duration{},
+		evacuations: map[string]*wire.Evacuations{}, startsIn: map[string]int{},
 	}
 }
 
@@ -87,6 +95,7 @@
 	if fence := c.fences[a.id]; fence != nil && s.Epoch < fence[s.Task.Job.Partition()] {
 		c.fail("no start below a fence", "task %s epoch %d fence %d at %s", s.Task, s.Epoch, fence[s.Task.Job.Partition()], a.id)
 	}
+	c.checkEvacuation(a, s)
 	if a.draining {
 		c.fail("no start after drain", "task %s at %s", s.Task, a.id)
 	}
--- a/internal/protocoltest/entry_test.go
+++ b/internal/protocoltest/entry_test.go
@@ -9,6 +9,7 @@
 	"github.com/damasklb/damasklb/internal/dispatch"
 	"github.com/damasklb/damasklb/internal/membership"
 	"github.com/damasklb/damasklb/internal/owner"
+	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -40,6 +41,7 @@
 	sim.entries[e.id] = e
 	e.tick()
 	e.renew()
+	e.pollEvacuations()
 	return e
 }
 
@@ -82,6 +84,7 @@
 	h := wire.Hello{
 		Version: wire.ProtocolVersion, Role: wire.RoleEntry, ID: e.id, Incarnation: e.id,
 		UptimeMS: uint64(e.clock() / time.Millisecond), MapVersion: e.mapVersion(),
+		Evacuations: e.core.KnownEvacuations().View(e.clock()),
 	}
 	return h
 }
@@ -95,6 +98,7 @@
 
 func (e *entryProc) linkUp(l *link, h wire.Hello) {
 	e.links[h.ID] = l
+	e.applyView(h, h.Evacuations, 0)
 	e.core.LinkUp(e.clock(), h)
 }
 
@@ -111,10 +115,12 @@
 	}
 	switch m := m.(type) {
 	case *wire.Ping:
-		l.send(l.side(&e.process), &wire.Pong{Seq: m.Seq, MapVersion: e.mapVersion()})
+		l.send(l.side(&e.process), wire.NewPong(m.Seq, e.hello()))
+		e.applyView(from, m.Evacuations, 0)
 	case *wire.Pong:
 		if from.Role == wire.RoleEntry {
 			sent := time.Duration(float64(time.Duration(m.Seq)-e.startedAt) * e.rate)
+			e.applyView(from, m.Evacuations, sent)
 			e.sim.check.confirmed(e, from.ID, sent, m.MapVersion)
 			e.core.MapConfirmed(sent, from.ID, m.MapVersion)
 		}
@@ -243,14 +249,14 @@
 }
 
 func (e *entryProc) listAgents(takeover uint64) {
-	e.sim.table.list(&e.process, owner.AgentKeyPrefix, func(answered bool, values [][]byte) {
+	e.sim.table.list(&e.process, owner.AgentKeyPrefix, func(answered bool, values []platform.Row) {
 		if !answered {
 			e.sim.after(membership.EntryRenewInterval, func() { e.post(func() { e.listAgents(takeover) }) })
 			return
 		}
 		rows := make([]owner.AgentRow, len(values))
 		for i, value := range values {
-			if err := json.Unmarshal(value, &rows[i]); err != nil {
+			if err := json.Unmarshal(value.Value, &rows[i]); err != nil {
 				panic(err)
 			}
 		}
--- a/internal/protocoltest/link_test.go
+++ b/internal/protocoltest/link_test.go
@@ -182,7 +182,7 @@
 	idle := silence >= pingAfter || limit == busySilence && l.sim.now-l.lastPing[side] >= pingAfter
 	if l.unansweredPing[side] == 0 && idle {
 		l.unansweredPing[side], l.lastPing[side] = l.sim.now, l.sim.now
-		l.send(side, &wire.Ping{Seq: uint64(l.sim.now)})
+		l.send(side, wire.NewPing(uint64(l.sim.now), l.ends[side].hello()))
 		refresh()
 	}
 }
--- a/internal/protocoltest/random_test.go
+++ b/internal/protocoltest/random_test.go
@@ -44,7 +44,11 @@
 
 // runSeed runs processes under random faults, ends the faults and checks recovery.
 func runSeed(seed uint64, trace bool) (out outcome) {
-	sim := newSimulation(seed)
+	return newSimulation(seed).runWith(trace, (*simulation).checkRecovery)
+}
+
+// runWith runs the simulation under random faults, and then recovery.
+func (sim *simulation) runWith(trace bool, recovery func(sim *simulation)) (out outcome) {
 	if trace {
 		sim.trace = func(format string, args ...any) {
 			fmt.Printf("%10s %s\n", sim.now.Round(time.Microsecond), fmt.Sprintf(format, args...))
@@ -64,7 +68,7 @@
 	}()
 	sim.begin()
 	sim.run(sim.now+faultTime, runSteps)
-	sim.checkRecovery()
+	recovery(sim)
 	return out
 }
 
@@ -89,6 +93,11 @@
 func (sim *simulation) checkRecovery() {
 	sim.heal()
 	sim.run(sim.now+recoveryTime, sim.steps+1_000_000)
+	sim.probeEntries()
+}
+
+// probeEntries checks that new jobs complete at every entry.
+func (sim *simulation) probeEntries() {
 	var probes []*request
 	for _, id := range sortedKeys(sim.entries) {
 		e := sim.entries[id]
--- a/internal/protocoltest/simulation_test.go
+++ b/internal/protocoltest/simulation_test.go
@@ -39,6 +39,7 @@
 func ledgerSettings() ledger.Settings {
 	s := ledger.DefaultSettings()
 	s.CreditTTL, s.ResubmissionWindow, s.ReplyRecords = creditTTL, window, 2
+	s.EvacuationQueryAge = 5 * time.Second
 	return s
 }
 
@@ -83,7 +84,10 @@
 	check        *checker
 	// failingUpstreams are the hosts whose upstream fails every task.
 	failingUpstreams map[string]bool
-	trace            func(format string, args ...any)
+	// evacuating has operators evacuate data centres; withoutCheck disables the agents'
+	// check of them.
+	evacuating, withoutCheck bool
+	trace                    func(format string, args ...any)
 }
 
 func newSimulation(seed uint64) *simulation {
--- a/internal/protocoltest/table_test.go
+++ b/internal/protocoltest/table_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/damasklb/damasklb/internal/platform"
 )
 
 const tableTimeout = 2 * time.Second
@@ -68,16 +70,16 @@
 	}, func(answered, ok bool) { done(answered, r, ok) })
 }
 
-func (t *table) list(p *process, prefix string, done func(answered bool, values [][]byte)) {
-	var values [][]byte
+func (t *table) list(p *process, prefix string, done func(answered bool, rows []platform.Row)) {
+	var rows []platform.Row
 	t.call(p, func() bool {
 		for _, key := range sortedKeys(t.rows) {
 			if strings.HasPrefix(key, prefix) {
-				values = append(values, t.rows[key].value)
+				rows = append(rows, platform.Row{Key: key, Value: t.rows[key].value, Version: t.rows[key].version})
 			}
 		}
 		return true
-	}, func(answered, _ bool) { done(answered, values) })
+	}, func(answered, _ bool) { done(answered, rows) })
 }
 
 // commit writes if the row key has the given version; with anyVersion, always.
@@ -86,16 +88,20 @@
 		if version != anyVersion && t.rows[key].version != version {
 			return false
 		}
-		for _, wr := range writes {
-			t.version++
-			if wr.delete {
-				delete(t.rows, wr.key)
-				continue
-			}
-			t.rows[wr.key] = row{value: wr.value, version: t.version}
-		}
+		t.write(writes)
 		return true
 	}, done)
 }
 
+func (t *table) write(writes []write) {
+	for _, wr := range writes {
+		t.version++
+		if wr.delete {
+			delete(t.rows, wr.key)
+			continue
+		}
+		t.rows[wr.key] = row{value: wr.value, version: t.version}
+	}
+}
+
 const anyVersion = ^uint64(0)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -43,6 +43,9 @@
 	Agents  int
 	// Slots is the number of tasks that each sample upstream runs at a time.
 	Slots int
+	// DataCentres are those of the agents, in turn; if empty, all are in "dc", as the
+	// entries are.
+	DataCentres []string
 	// DrainDelay is the time for which a draining entry still accepts requests.
 	DrainDelay time.Duration
 	// TLS runs the entries without dev mode, so that callers need certificates.
@@ -255,13 +258,20 @@
 	if err != nil {
 		return err
 	}
-	r.Agents = append(r.Agents, r.newProcess(agentHost(i), announceAddress, "agent", "--host", agentHost(i), "--data-centre", "dc",
+	r.Agents = append(r.Agents, r.newProcess(agentHost(i), announceAddress, "agent", "--host", agentHost(i), "--data-centre", r.agentDataCentre(i),
 		"--table-url", "http://"+r.Table.Address, "--keys", r.KeyDir, "--announce-listen", announceAddress))
 	r.Upstreams = append(r.Upstreams, r.newProcess("u-"+agentHost(i), upstreamAddress, "dev", "upstream", "--listen", upstreamAddress,
 		"--agent-url", "http://"+announceAddress, "--slots", fmt.Sprint(r.opts.Slots)))
 	return nil
 }
 
+func (r *Rig) agentDataCentre(i int) string {
+	if len(r.opts.DataCentres) == 0 {
+		return "dc"
+	}
+	return r.opts.DataCentres[i%len(r.opts.DataCentres)]
+}
+
 func (r *Rig) newProcess(name, address string, args ...string) *Process {
 	return &Process{Name: name, Address: address, args: args, rig: r}
 }
