--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -1,11 +1,11 @@
 package broker
 
 import (
-	"math"
 	"slices"
 	"time"
 
-	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/explain"
+	"github.com/damasklb/damasklb/internal/runtimes"
 )
 
 // Admission control handles loads above capacity and demand peaks: a job whose
@@ -27,60 +27,15 @@
 	startLimitFactor = 0.8
 )
 
-// queueStats holds run time statistics of a queue's tasks.
-type queueStats struct {
-	runs int
-	// meanLogRatio is the mean logarithm of run time over declared run time,
-	// meanLogRunTime that of the run time in milliseconds.
-	meanLogRatio, meanLogRunTime float64
-}
-
-const (
-	// statsWindow is the number of runs over which means are taken.
-	statsWindow = 200
-	// minLearnedRuns is the number of runs from which the queue's own mean counts.
-	minLearnedRuns = 10
-	// defaultEstimate is assumed for a task without a declared run time.
-	defaultEstimate = 200 * time.Millisecond
-)
-
-func (b *Broker) statsOf(queue string) *queueStats {
+func (b *Broker) statsOf(queue string) *runtimes.Stats {
 	s := b.stats[queue]
 	if s == nil {
-		s = &queueStats{}
+		s = &runtimes.Stats{}
 		b.stats[queue] = s
 	}
 	return s
 }
 
-// expectedRunTime returns the run time expected of a task. The errors of declared
-// run times are as large as the variation of run times, so the declared time and
-// the queue's mean have the same weight.
-func (s *queueStats) expectedRunTime(declared time.Duration) time.Duration {
-	if declared <= 0 {
-		declared = defaultEstimate
-	}
-	d := math.Log(float64(declared) / float64(time.Millisecond))
-	if s.runs < minLearnedRuns {
-		return declared
-	}
-	ms := math.Exp((d + s.meanLogRatio + s.meanLogRunTime) / 2)
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
-// addRun adds the run time of a task that succeeded on an upstream with the given
-// slowness in hundredths.
-func (s *queueStats) addRun(ran, declared time.Duration, slowness uint32) {
-	if declared <= 0 {
-		declared = defaultEstimate
-	}
-	ms := max(float64(ran)/float64(time.Millisecond), 1) / max(float64(slowness)/100, 0.5)
-	s.runs++
-	n := float64(min(s.runs, statsWindow))
-	s.meanLogRunTime += (math.Log(ms) - s.meanLogRunTime) / n
-	s.meanLogRatio += (math.Log(ms*float64(time.Millisecond)/float64(declared)) - s.meanLogRatio) / n
-}
-
 // longestExpected returns the expected run time of the job's longest task.
 func (j *job) longestExpected() time.Duration {
 	var most time.Duration
@@ -98,6 +53,13 @@
 	return max(s, 5*time.Millisecond)
 }
 
+// timeLeft returns the time within which the job's tasks have to end so that the job still
+// ends within the response time that its caller expects.
+func (j *job) timeLeft(now time.Duration) time.Duration {
+	q := j.sub.Queue
+	return j.arrived + time.Duration(q.Stretch*float64(j.longestExpected())) + q.LatencyTarget - overhead - now
+}
+
 // startLimit returns the time after a job's arrival at which it is refused if it
 // has not started.
 func (j *job) startLimit() time.Duration {
@@ -107,41 +69,33 @@
 // admit decides whether a job is refused at its arrival, and otherwise places its
 // tasks or retains them until they can be placed.
 func (b *Broker) admit(now time.Duration, j *job) (Outcome, bool) {
-	if b.draining {
-		return b.refuse(j, Outcome{Kind: Refused, Reason: "entry-leaving", RetryAfter: minRetryAfter}, 0), true
-	}
-	if now < b.suspendedUntil {
-		b.retain(now, j)
-		return Outcome{}, false
+	var placements []planned
+	if !b.draining && !b.suspended(now) {
+		placements = b.plan(now, j)
 	}
-	placements := b.plan(now, j)
-	var worst time.Duration
-	atOnce := 0
-	for _, p := range placements {
-		if p.agent == nil {
-			cancelPlan(placements)
-			return b.admitWithoutAgent(now, j)
-		}
-		worst = max(worst, p.wait)
-		if p.wait == 0 {
-			atOnce++
-		}
-	}
-	if worst > time.Duration(maxWaitShare*float64(j.slack())) {
+	v := b.judge(now, j, placements)
+	if v.Action != explain.Place {
 		cancelPlan(placements)
-		if now < b.agentsExpectedUntil {
-			b.retain(now, j)
-			return Outcome{}, false
+	}
+	switch v.Action {
+	case explain.Place:
+		for _, p := range placements {
+			if p.hold {
+				b.hold(now, p.task)
+				continue
+			}
+			b.assign(now, p.agent, p.task, p.wait)
 		}
-		if !j.verified && b.verify(now, j) {
+		return Outcome{}, false
+	case explain.Hold:
+		b.retain(now, j)
+		return Outcome{}, false
+	case explain.Verify:
+		if b.verify(now, j) {
 			return Outcome{}, false
 		}
-		return b.refuse(j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.jitter(minRetryAfter + worst)}, atOnce), true
-	}
-	for _, p := range placements {
-		b.assign(now, p.agent, p.task, p.wait)
 	}
-	return Outcome{}, false
+	return b.refuse(j, b.refusal(v), v.AtOnce), true
 }
 
 // refuse logs a refusal at arrival with its cause.
@@ -164,24 +118,6 @@
 	agentArrivalWindow = 60 * time.Millisecond
 )
 
-// admitWithoutAgent handles a job that no agent can take now. If an agent is likely
-// to become usable, the job is retained until its start limit, otherwise refused.
-func (b *Broker) admitWithoutAgent(now time.Duration, j *job) (Outcome, bool) {
-	if b.HasAgent(now) && b.poison.Caution(now, j.sub.Queue.Name) == poison.Quarantined {
-		return b.refuse(j, Outcome{Kind: Refused, Reason: reasonQuarantine, RetryAfter: b.jitter(quarantineRetryAfter)}, 0), true
-	}
-	for _, t := range j.tasks {
-		if b.exceedsAll(now, t) {
-			return b.refuse(j, b.tooLarge(), 0), true
-		}
-	}
-	if now > startupGrace && now-b.lastPresentAt > agentReturnTimeout {
-		return b.refuse(j, Outcome{Kind: Refused, Reason: "no-upstream", RetryAfter: b.jitter(minRetryAfter)}, 0), true
-	}
-	b.retain(now, j)
-	return Outcome{}, false
-}
-
 // retain adds a job's tasks to those that wait for an agent.
 func (b *Broker) retain(now time.Duration, j *job) {
 	for _, t := range j.tasks {
@@ -220,6 +156,7 @@
 // have waited too long.
 func (b *Broker) placeUnplaced(now time.Duration) {
 	b.unplacedTriedAt = now
+	redecided := 0
 	for _, t := range slices.Clone(b.unplaced) {
 		j := t.job
 		if !t.unplaced {
@@ -232,6 +169,9 @@
 			b.close(now, j, Outcome{Kind: Refused, Reason: "no-upstream", RetryAfter: b.retryAfter(j)})
 			continue
 		}
+		if t.rack.Held() && !b.placeHeld(now, t, &redecided) {
+			continue
+		}
 		b.place(now, t)
 	}
 }
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/damasklb/damasklb/internal/capacity"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -27,14 +28,13 @@
 	// confirmedAt is when the agent was last sent a confirmation of its tasks, by an
 	// EntryBeat or an Assign.
 	confirmedAt time.Duration
-	load        wire.Load
-	// reportAt is when load arrived, queriedAt when the agent was last asked for it.
+	// view is what is known of the upstream's capacity.
+	view capacity.View
+	// reportAt is when the last report arrived, queriedAt when the agent was last asked
+	// for one.
 	reportAt, queriedAt time.Duration
-	seq                 uint64
 	tasks               []*task
-	// unreported holds the assignments that load does not include yet.
-	unreported []unreportedAssign
-	avoidUntil time.Duration
+	avoidUntil          time.Duration
 	// service is the last known service of the upstream, quarantined whether the upstream
 	// is for quarantined queues.
 	service     string
@@ -45,35 +45,29 @@
 	rank uint64
 	// suspects is the number of tasks whose attempt is a trial.
 	suspects int
+	// evacuated is whether the agent's data centre is being emptied, as this entry knows.
+	evacuated bool
+	// evacuationsSentAt is when the agent was last told of evacuations on this link; 0
+	// means never.
+	evacuationsSentAt time.Duration
 }
 
-type unreportedAssign struct {
-	seq uint64
-	// at is when it was sent.
-	at       time.Duration
-	cpu, mem int
-	workMS   int
+// present reports whether the agent's link and upstream are in order, and its data centre
+// is not being emptied.
+func (a *agent) present(now time.Duration, s *Settings) bool {
+	return a.view.Load.Ready && !a.evacuated && a.inOrder(now, s)
 }
 
-// present reports whether the agent's link and upstream are in order.
-func (a *agent) present(now time.Duration, s *Settings) bool {
-	return a.connected && a.load.Ready && !a.load.Draining && now >= a.avoidUntil &&
+// inOrder reports whether the agent's link and upstream are in order.
+func (a *agent) inOrder(now time.Duration, s *Settings) bool {
+	return a.connected && (a.view.Load.Ready || a.view.Load.Evacuated) && !a.view.Load.Draining && now >= a.avoidUntil &&
 		now-a.heartbeatAt <= s.HeartbeatTimeout
 }
 
 // usable reports whether the agent may get tasks: it is present and reacts to those that it
 // was sent.
 func (a *agent) usable(now time.Duration, s *Settings) bool {
-	return a.present(now, s) && (len(a.unreported) == 0 || now-a.unreported[0].at <= s.ReactionTimeout)
-}
-
-// dropReported drops the assignments that the load includes.
-func (a *agent) dropReported() {
-	n := 0
-	for n < len(a.unreported) && a.unreported[n].seq <= a.load.LastSeq {
-		n++
-	}
-	a.unreported = a.unreported[n:]
+	return a.present(now, s) && a.view.Unanswered(now) <= s.ReactionTimeout
 }
 
 // Link describes a link from an agent whose first heartbeat has arrived.
@@ -119,8 +113,9 @@
 	}
 	a.connected = true
 	a.dataCentre = l.DataCentre
-	a.unreported = nil
-	a.seq = 0
+	a.evacuated = b.evacuations.Evacuated(a.dataCentre)
+	a.evacuationsSentAt = 0
+	a.view.Reset()
 	if len(a.tasks) > 0 {
 		m := &wire.Resume{}
 		for _, t := range a.tasks {
@@ -162,7 +157,7 @@
 	}
 	a.heartbeatAt = now
 	a.echoMS = max(a.echoMS, m.ClockMS)
-	a.load = m.Load
+	a.view.Report(m.Load)
 	if m.Load.CapacityCPU > 0 {
 		a.capacityCPU, a.capacityMem = m.Load.CapacityCPU, m.Load.CapacityMem
 	}
@@ -173,18 +168,25 @@
 	for _, c := range m.Crashes {
 		b.CrashReported(now, id.Host, c)
 	}
-	a.dropReported()
 	if len(a.tasks) > 0 || !m.Relaxed || now-a.confirmedAt >= idleAnswerInterval {
-		a.confirmedAt = now
-		b.send(a, &wire.EntryBeat{EchoMS: a.echoMS})
+		b.confirm(now, a, &wire.EntryBeat{EchoMS: a.echoMS})
 	}
-	if m.Load.Ready {
+	if m.Load.Ready || m.Load.Evacuated {
 		b.expireRetainedTasks(now, id.Host)
+	}
+	if m.Load.Ready {
 		b.agentReported(now)
 	}
 	b.reported(now, a)
 }
 
+// confirm sends an agent a confirmation of its tasks.
+func (b *Broker) confirm(now time.Duration, a *agent, m *wire.EntryBeat) {
+	a.confirmedAt = now
+	b.addEvacuations(now, a, m)
+	b.send(a, m)
+}
+
 // idleAnswerInterval is the time between two answers to relaxed heartbeats. The agent needs
 // them only to notice a silent link.
 const idleAnswerInterval = 350 * time.Millisecond
@@ -214,7 +216,7 @@
 // started.
 func (a *agent) assumeStarted() {
 	for _, t := range a.tasks {
-		t.job.started = true
+		t.job.started, t.job.cutShort = true, true
 	}
 }
 
@@ -224,7 +226,7 @@
 func (b *Broker) loseTasks(now time.Duration, a *agent, reason string, wait bool) {
 	for _, t := range slices.Clone(a.tasks) {
 		b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "lost", Reason: reason, ReportAge: now - a.heartbeatAt})
-		t.job.started = true
+		t.job.started, t.job.cutShort = true, true
 		if wait {
 			continue
 		}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -12,7 +12,11 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/catalog"
+	"github.com/damasklb/damasklb/internal/evacuation"
+	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/preemption"
+	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -40,6 +44,13 @@
 	// ResumeDelay is the time without new commands after a pause of the process, in
 	// which the broker learns which callers have left.
 	ResumeDelay time.Duration
+	// EvacuateWithin is the time from an operator's request to empty a data centre after
+	// which no task may start there; 0 means that there are no such requests.
+	EvacuateWithin time.Duration
+	// Preemption are the limits of stops for more urgent work.
+	Preemption preemption.Settings
+	// Locality bounds the wait of tasks for their preferred rack.
+	Locality locality.Settings
 }
 
 // DefaultSettings returns settings that fit agents whose runs end within
@@ -54,6 +65,7 @@
 		RunsEndedAfter:   endedAfter,
 		AnswerRetention:  6 * time.Second,
 		ResumeDelay:      30 * time.Millisecond,
+		Locality:         locality.Settings{MaxWait: locality.DefaultMaxWait},
 	}
 }
 
@@ -102,7 +114,7 @@
 	// retained holds, by host, the agent processes that have ended and whose tasks may
 	// still run. They are in agentList as well.
 	retained map[string][]*agent
-	stats    map[string]*queueStats
+	stats    map[string]*runtimes.Stats
 	// poison holds the crashes of upstreams.
 	poison *poison.Detector
 	// cautions holds the last logged caution of each queue.
@@ -116,6 +128,14 @@
 	// unplacedTriedAt is when the broker last tried to place them.
 	unplacedTriedAt time.Duration
 
+	// racks decides for the tasks that prefer a rack.
+	racks *locality.Racks
+
+	evacuations evacuation.Tracker
+	// resumedAt is when the process last resumed after a pause, evacuationsExpectedUntil
+	// the time until which no command is sent without newer news of evacuations.
+	resumedAt, evacuationsExpectedUntil time.Duration
+
 	draining bool
 	lastTick time.Duration
 	// suspendedUntil is the time before which no new command is sent, after a
@@ -148,9 +168,10 @@
 		answers:  map[string]answer{},
 		agents:   map[string]*agent{},
 		retained: map[string][]*agent{},
-		stats:    map[string]*queueStats{},
+		stats:    map[string]*runtimes.Stats{},
 		poison:   poison.New(),
 		cautions: map[string]poison.Caution{},
+		racks:    locality.NewRacks(settings.Locality, settings.FarRackFactor),
 	}
 }
 
@@ -228,6 +249,7 @@
 		b.updateQuarantine(now)
 	}
 	b.logCautions(now)
+	b.observeRacks(now)
 	b.moveWaiting(now)
 	b.reassignStuck(now)
 	if b.HasAgent(now) {
@@ -242,6 +264,7 @@
 // first learns which callers have left: their jobs may run elsewhere by now.
 func (b *Broker) ProcessResumed(now time.Duration) {
 	b.suspendedUntil = now + b.settings.ResumeDelay
+	b.verifyEvacuations(now)
 	for _, a := range b.agentList {
 		if b.runsEnded(now, a) {
 			a.assumeStarted()
--- a/internal/broker/effects.go
+++ b/internal/broker/effects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -43,6 +44,10 @@
 	// Runs is the number of runs under a crash, Crashes that of the crashes under a task
 	// or job.
 	Runs, Crashes int
+	// Version is the store's version of the evacuation request that the decision follows.
+	Version uint64
+	// Rack is set for the placement or hold of a task that prefers a rack.
+	Rack *locality.Placement
 }
 
 // OutcomeKind is the way in which a request ended.
--- /dev/null
+++ b/internal/broker/evacuation.go
@@ -0,0 +1,160 @@
+package broker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/evacuation"
+	"github.com/damasklb/damasklb/internal/status"
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+// An entry places nothing in a data centre that operators are emptying. The free capacity
+// there no longer counts, so admission follows the capacity that is left at once. The entry
+// passes its knowledge on to its agents, which make the last check before a start.
+const (
+	// evacuationsInterval is the time between two messages about evacuations to an agent. It
+	// is a small part of the time within which a data centre has to be empty.
+	evacuationsInterval = time.Second
+	// evacuationQueryTimeout bounds the wait for news of evacuations after a pause of the
+	// process. The store answers within a few milliseconds, unless it is out of reach, and
+	// the jobs that wait meanwhile lose a part of their slack.
+	evacuationQueryTimeout = 60 * time.Millisecond
+)
+
+// reasonEvacuated is the reason, of agents and the broker, for not running a task in a data
+// centre that is being emptied.
+const reasonEvacuated = "evacuated"
+
+// QueryEvacuations asks for the evacuation requests in the store.
+type QueryEvacuations struct{}
+
+// Evacuations handles news about evacuation requests.
+func (b *Broker) Evacuations(now time.Duration, u evacuation.Update) {
+	if b.settings.EvacuateWithin == 0 {
+		return
+	}
+	changes := b.evacuations.Apply(now, u)
+	for _, c := range changes {
+		b.evacuationChanged(now, c)
+	}
+	if len(changes) == 0 {
+		return
+	}
+	b.updateQuarantine(now)
+	for _, a := range b.agentList {
+		if a.connected && a.heartbeatAt > 0 {
+			a.evacuationsSentAt = 0
+			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.echoMS})
+		}
+	}
+	b.placeUnplaced(now)
+}
+
+// evacuationChanged takes back the tasks that wait in a data centre that is being emptied.
+func (b *Broker) evacuationChanged(now time.Duration, c evacuation.Change) {
+	waiting, running := 0, 0
+	for _, a := range b.agentList {
+		if a.dataCentre != c.DataCentre {
+			continue
+		}
+		a.evacuated = !c.Deleted
+		for _, t := range slices.Clone(a.tasks) {
+			switch {
+			case t.started:
+				running++
+			case !c.Deleted && !t.withdrawn:
+				waiting++
+				b.withdraw(now, t, true)
+			}
+		}
+	}
+	d := Decision{Action: "evacuate", Agent: c.DataCentre, Runs: running, Tasks: waiting, Version: c.Version}
+	if c.Deleted {
+		d.Action = "evacuation-ended"
+	}
+	b.emit(d)
+}
+
+// addEvacuations adds what the entry knows of evacuations to a message, at intervals.
+func (b *Broker) addEvacuations(now time.Duration, a *agent, m *wire.EntryBeat) {
+	if b.settings.EvacuateWithin == 0 || (a.evacuationsSentAt > 0 && now-a.evacuationsSentAt < evacuationsInterval) {
+		return
+	}
+	if m.Evacuations = b.evacuations.View(now); m.Evacuations != nil {
+		a.evacuationsSentAt = now
+	}
+}
+
+// verifyEvacuations asks for the requests in the store after a pause of the process, in
+// which it has missed changes.
+func (b *Broker) verifyEvacuations(now time.Duration) {
+	if b.settings.EvacuateWithin == 0 {
+		return
+	}
+	b.resumedAt = now
+	b.evacuationsExpectedUntil = now + evacuationQueryTimeout
+	b.emit(QueryEvacuations{})
+}
+
+// suspended reports whether no new command may be sent, shortly after a pause of the
+// process.
+func (b *Broker) suspended(now time.Duration) bool {
+	return now < b.suspendedUntil ||
+		(now < b.evacuationsExpectedUntil && now-b.evacuations.Age(now) < b.resumedAt)
+}
+
+// onlyEvacuated reports whether upstreams could run the task, but all are in data centres
+// that are being emptied.
+func (b *Broker) onlyEvacuated(now time.Duration, t *task) bool {
+	found := false
+	for _, a := range b.agentList {
+		if !a.inOrder(now, &b.settings) || !a.serves(t) {
+			continue
+		}
+		if !a.evacuated && a.view.Load.Ready {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// HasEvacuatedAgent reports whether an agent is in order but for the evacuation of its data
+// centre. An entry with such agents only still answers callers: it refuses their jobs.
+func (b *Broker) HasEvacuatedAgent(now time.Duration) bool {
+	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.inOrder(now, &b.settings) })
+}
+
+// evacuatedRetryAfter is the delay given to callers while all data centres are being
+// emptied.
+const evacuatedRetryAfter = 3 * time.Second
+
+// maxUnawareHosts bounds the hosts that the state of an evacuation names.
+const maxUnawareHosts = 20
+
+// EvacuationStates returns the evacuations in force and the age of that knowledge.
+func (b *Broker) EvacuationStates(now time.Duration) ([]status.HostedEvacuation, time.Duration) {
+	var out []status.HostedEvacuation
+	for _, r := range b.evacuations.Requests() {
+		s := status.HostedEvacuation{DataCentre: r.DataCentre, Version: r.Version, SinceMS: (now - r.Since).Milliseconds()}
+		for _, a := range b.agentList {
+			if a.dataCentre != r.DataCentre || !a.connected {
+				continue
+			}
+			s.Agents++
+			if a.view.Load.Ready {
+				if s.Unaware++; len(s.UnawareHosts) < maxUnawareHosts {
+					s.UnawareHosts = append(s.UnawareHosts, a.id.Host)
+				}
+			}
+			for _, t := range a.tasks {
+				if t.started {
+					s.Running++
+				}
+			}
+		}
+		out = append(out, s)
+	}
+	return out, b.evacuations.Age(now)
+}
--- /dev/null
+++ b/internal/broker/explain.go
@@ -0,0 +1,290 @@
+package broker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/explain"
+	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/runtimes"
+	"github.com/damasklb/damasklb/internal/status"
+)
+
+// Explanations answer operators who ask where a job would be placed now and why. They call
+// the functions that decide, on copies of the agents, and draw no random number, so asking
+// changes no later decision.
+
+// The reasons of assess. Explanations replace the first two by the condition that fails.
+const (
+	excludedUnusable = "unusable"
+	excludedOther    = "other-upstream"
+	excludedJobLimit = "job-limit-reached"
+	excludedSuspects = "kept-apart-after-crashes"
+)
+
+// explanation is an explanation in progress.
+type explanation struct {
+	status.Explanation
+	b      *Broker
+	now    time.Duration
+	agents []*agent
+	racks  *locality.Racks
+	// limit is the number of candidates that are listed.
+	limit int
+}
+
+func (b *Broker) newExplanation(now time.Duration, j *job, racks *locality.Racks, detailed, limit int) *explanation {
+	x := &explanation{b: b, now: now, limit: limit, racks: racks}
+	q := j.sub.Queue
+	x.Queue, x.Service, x.Priority = q.Name, q.Service, q.Priority
+	x.SlackMS, x.RandomMS, x.Detailed = explain.Milliseconds(j.slack()), explain.Milliseconds(spreadJitter), detailed
+	if caution := b.poison.Caution(now, q.Name); caution != poison.Unrestricted {
+		x.Caution = caution.String()
+	}
+	// Capacity is reserved on copies.
+	copies := make([]agent, len(b.agentList))
+	for i, a := range b.agentList {
+		copies[i] = *a
+		copies[i].view = a.view.Clone()
+		x.agents = append(x.agents, &copies[i])
+	}
+	return x
+}
+
+// Explain explains the placement of a job that is not submitted, with the candidates for
+// the task whose index is detailed, at most limit.
+func (b *Broker) Explain(now time.Duration, sub Submission, detailed, limit int) status.Explanation {
+	stats := b.stats[sub.Queue.Name]
+	if stats == nil {
+		stats = &runtimes.Stats{}
+	}
+	tasks := len(sub.Tasks)
+	sub.Tasks = sub.Tasks[:explain.PlannedTasks(tasks, len(b.agentList))]
+	racks := b.racks.Clone()
+	j := newJob(now, sub, stats, racks)
+	x := b.newExplanation(now, j, racks, detailed, limit)
+	x.TasksUnplanned = tasks - len(j.tasks)
+	var placements []planned
+	for _, t := range j.bySize() {
+		o, p := x.choose(t, t.rack)
+		o.State = "new"
+		if p.agent != nil {
+			p.agent.reserve(now, t)
+		}
+		placements = append(placements, p)
+		x.Tasks = append(x.Tasks, o)
+	}
+	slices.SortFunc(x.Tasks, func(x, y status.TaskOutlook) int { return cmp.Compare(x.Index, y.Index) })
+	x.Tasks = x.Tasks[:min(len(x.Tasks), explain.MaxTasks)]
+	x.TasksOmitted = tasks - len(x.Tasks)
+	v := b.judge(now, j, placements)
+	for _, a := range b.agentList {
+		if v.Action == explain.Verify && b.reportOutdated(now, a, j) {
+			x.OutdatedReports++
+		}
+	}
+	if v.Action == explain.Verify && x.OutdatedReports == 0 {
+		v.Action = explain.Refuse
+	}
+	v.Show(&x.Explanation)
+	return x.Explanation
+}
+
+// ExplainJob explains a job that waits or runs, or has ended a moment ago. It returns false
+// if there is none with this id. A negative detailed means the first task that has not
+// started.
+func (b *Broker) ExplainJob(now time.Duration, id string, detailed, limit int) (status.Explanation, bool) {
+	j := b.jobs[id]
+	if j == nil {
+		a, ok := b.answers[id]
+		if !ok {
+			return status.Explanation{}, false
+		}
+		return status.Explanation{Job: id, State: a.outcome.Kind.String(), Decision: "none", Reason: a.outcome.Reason,
+			RetryAfterMS: a.outcome.RetryAfter.Milliseconds()}, true
+	}
+	if detailed < 0 {
+		detailed = max(0, slices.IndexFunc(j.tasks, func(t *task) bool { return !t.done && !t.started }))
+	}
+	x := b.newExplanation(now, j, b.racks.Clone(), detailed, limit)
+	x.Job, x.State, x.Decision, x.WaitLimitMS = id, "queued", "none", explain.Milliseconds(j.startLimit())
+	switch {
+	case j.closing:
+		x.State, x.Reason = "ending", j.outcome.Reason
+	case j.started:
+		x.State = "running"
+	}
+	for _, t := range j.tasks {
+		if len(x.Tasks) >= explain.MaxTasks && t.index != detailed {
+			x.TasksOmitted++
+			continue
+		}
+		x.Tasks = append(x.Tasks, x.live(t))
+	}
+	return x.Explanation, true
+}
+
+// live explains a task of a job that waits or runs.
+func (x *explanation) live(t *task) status.TaskOutlook {
+	if t.done || t.started {
+		o := status.TaskOutlook{Index: t.index, State: "done", ExpectedMS: explain.Milliseconds(t.expected)}
+		if t.started {
+			o.State, o.Agent, o.ForMS = "running", t.agent.id.Host, (x.now - t.startedAt).Milliseconds()
+		}
+		return o
+	}
+	rack := t.rack
+	if rack != nil {
+		c := *rack
+		rack = &c
+	}
+	o, p := x.choose(t, rack)
+	if t.agent != nil {
+		o.State, o.Agent, o.ForMS = "waiting", t.agent.id.Host, (x.now - t.assignedAt).Milliseconds()
+		return o
+	}
+	o.State = "held"
+	if t.unplaced {
+		o.ForMS = (x.now - t.unplacedAt).Milliseconds()
+	}
+	var v explain.Verdict
+	if p.hold {
+		v = explain.HoldFor(rack.Decision.Reason)
+	} else {
+		v = x.b.judgeTask(x.now, t, p.agent, p.wait)
+	}
+	switch {
+	case t.job.closing:
+		return o
+	case x.b.suspended(x.now):
+		v = explain.HoldFor(reasonResuming)
+	case t.liveAt != nil:
+		v = explain.HoldFor(reasonLive)
+	case !t.unplaced:
+		v = explain.Verdict{Action: explain.Verify, Reason: reasonOverload}
+	}
+	o.Decision, o.Reason = string(v.Action), v.Reason
+	v.Show(&x.Explanation)
+	return o
+}
+
+// choose returns where a task would go, and with which plan. rack is the state of its wait for
+// a rack, which changes. If the task is the detailed one, its candidates are added.
+func (x *explanation) choose(t *task, rack *locality.Task) (o status.TaskOutlook, p planned) {
+	var found explain.Candidates
+	var best option
+	var sides rackOptions
+	detailed := t.index == x.Detailed
+	within := t.job.timeLeft(x.now)
+	for _, a := range x.agents {
+		c, excluded := x.b.assess(x.now, a, t)
+		if excluded == "" {
+			sides.add(a, c, t, within)
+			if best.agent == nil || c.Better(best.scored, within) {
+				best = option{agent: a, scored: c}
+			}
+		}
+		switch {
+		case !detailed:
+		case excluded != "":
+			found.Exclude(a.id.Host, x.b.excludedBecause(x.now, a, t, excluded))
+		default:
+			cpu, mem, _ := a.view.Free(x.Priority)
+			found.Add(explain.Candidate{Scored: c, OnRack: a.onRack(t.spec.PreferredRack), Candidate: status.Candidate{
+				Host: a.id.Host, DataCentre: a.dataCentre, FreeCPU: cpu, FreeMem: mem, ReportAgeMS: (x.now - a.reportAt).Milliseconds(),
+			}})
+		}
+	}
+	o = status.TaskOutlook{Index: t.index, ExpectedMS: explain.Milliseconds(t.expected)}
+	if rack != nil {
+		x.racks.LearnFactor(rack)
+		d := x.racks.Choose(rack, x.b.rackInput(x.now, t, sides), x.b.heldCPU(t))
+		best, p.hold = sides.chosen(d)
+		found.ByRack(best.agent != nil, rack.Near)
+		o.Reason = d.Reason
+		if p.hold {
+			o.Decision = string(explain.Hold)
+		}
+	}
+	if detailed {
+		found.Finish(&x.Explanation, x.limit, within, spreadJitter)
+	}
+	if best.agent != nil {
+		o.Choice, o.WaitMS, o.ScoreMS = best.agent.id.Host, explain.Milliseconds(best.scored.Wait), explain.Milliseconds(best.scored.Score())
+	}
+	p.task, p.agent, p.wait = t, best.agent, best.scored.Wait
+	return o, p
+}
+
+// excludedBecause names the condition behind a reason of assess.
+func (b *Broker) excludedBecause(now time.Duration, a *agent, t *task, excluded string) string {
+	switch {
+	case excluded == excludedUnusable:
+		return a.state(now, &b.settings)
+	case excluded != excludedOther:
+		return excluded
+	case a.view.Load.Service != t.job.sub.Queue.Service:
+		return "other-service"
+	case t.spec.RequiredLabel != "" && !slices.Contains(a.view.Load.Labels, t.spec.RequiredLabel):
+		return "label-missing"
+	}
+	return reasonTooLarge
+}
+
+// AgentReady is the state of an agent that may get tasks.
+const AgentReady = "ready"
+
+// state returns AgentReady, or the first condition for which the agent gets no tasks.
+func (a *agent) state(now time.Duration, s *Settings) string {
+	switch l := &a.view.Load; {
+	case a.usable(now, s):
+		return AgentReady
+	case !a.connected:
+		return "not-connected"
+	case now-a.heartbeatAt > s.HeartbeatTimeout:
+		return "no-heartbeat"
+	case l.Draining:
+		return "leaving"
+	case a.evacuated || l.Evacuated:
+		return reasonEvacuated
+	case !l.Ready:
+		return "not-ready"
+	case now < a.avoidUntil:
+		return "has-just-refused"
+	}
+	return "no-reaction"
+}
+
+// AgentStates returns the state of the agents for operators, at most limit, and the number
+// of the others.
+func (b *Broker) AgentStates(now time.Duration, limit int) (out []status.HostedAgent, omitted int) {
+	limit = min(limit, len(b.agentList))
+	for _, a := range b.agentList[:limit] {
+		l := &a.view.Load
+		s := status.HostedAgent{
+			Host: a.id.Host, Incarnation: a.id.Incarnation, DataCentre: a.dataCentre, Service: a.service, Labels: l.Labels,
+			State: a.state(now, &b.settings), CapacityCPU: l.CapacityCPU, CapacityMem: l.CapacityMem, QueuedWorkMS: l.QueuedWork,
+			Slowness: l.Slowness, ColdMS: l.ColdMS, FailurePercent: l.FailurePercent, Stuck: l.Stuck, Quarantined: a.quarantined, Suspects: a.suspects,
+			Tasks: len(a.tasks), ReportAgeMS: (now - a.reportAt).Milliseconds(), HeartbeatAgeMS: (now - a.heartbeatAt).Milliseconds(),
+		}
+		s.FreeCPU, s.FreeMem, _ = a.view.Free(0)
+		out = append(out, s)
+	}
+	return out, len(b.agentList) - limit
+}
+
+// CautiousQueues returns the queues whose jobs are kept apart after crashes of upstreams.
+func (b *Broker) CautiousQueues(now time.Duration) map[string]string {
+	out := map[string]string{}
+	for _, queue := range b.poison.Queues() {
+		if c := b.poison.Caution(now, queue); c != poison.Unrestricted {
+			out[queue] = c.String()
+		}
+	}
+	return out
+}
+
+// HeldTasks returns the number of tasks that wait for an agent that can take them.
+func (b *Broker) HeldTasks() int { return len(b.unplaced) }
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/invariant"
+	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // job is a submission that has not ended, or whose runs may not all have ended.
 type job struct {
 	sub       Submission
-	stats     *queueStats
+	stats     *runtimes.Stats
 	arrived   time.Duration
 	waiters   []Waiter
 	tasks     []*task
@@ -24,6 +26,9 @@
 	// left; pending holds the requests that arrive meanwhile.
 	closing bool
 	outcome Outcome
+	// cutShort is whether a run of the job was preempted or cut short otherwise, or may have
+	// been.
+	cutShort bool
 	// verified is whether agents with old reports were asked for new ones.
 	verified bool
 	// answered is whether the outcome was sent to the waiters.
@@ -52,7 +57,9 @@
 	runTime  time.Duration
 	failures int
 	// agent has the current attempt; nil if there is none.
-	agent      *agent
+	agent *agent
+	// plannedFor is the key of the agent for which the plan under way has reserved capacity.
+	plannedFor string
 	run        uint64
 	assignedAt time.Duration
 	seq        uint64
@@ -80,6 +87,8 @@
 	trialRefusals int
 	// lostRuns counts the runs whose end is unknown.
 	lostRuns int
+	// rack is nil for a task that never waits for a rack.
+	rack *locality.Task
 	// liveAt is the agent that last refused the task because another run of it is live
 	// there, nil if there is none; liveRetryAt is when that agent is asked again.
 	liveAt      *agent
@@ -112,13 +121,10 @@
 		return
 	}
 	earlier := b.answers[sub.ID].lastRun
-	j := &job{sub: sub, stats: b.statsOf(sub.Queue.Name), arrived: now, waiters: []Waiter{w}, earlierLastRun: earlier, lastRun: earlier}
+	j := newJob(now, sub, b.statsOf(sub.Queue.Name), b.racks)
+	j.waiters, j.earlierLastRun, j.lastRun = []Waiter{w}, earlier, earlier
 	// Another entry may have run it.
 	j.started = b.poison.HasRun(sub.ID)
-	for i, spec := range sub.Tasks {
-		j.tasks = append(j.tasks, &task{job: j, index: i, spec: spec, expected: j.stats.expectedRunTime(spec.Estimate)})
-	}
-	j.openTasks = len(j.tasks)
 	b.jobs[sub.ID] = j
 	if b.giveUpSuspect(now, j) {
 		return
@@ -132,6 +138,16 @@
 	}
 }
 
+// newJob returns a job with its tasks.
+func newJob(now time.Duration, sub Submission, stats *runtimes.Stats, racks *locality.Racks) *job {
+	j := &job{sub: sub, stats: stats, arrived: now, openTasks: len(sub.Tasks)}
+	for i, spec := range sub.Tasks {
+		j.tasks = append(j.tasks, &task{job: j, index: i, spec: spec, expected: stats.Expected(spec.Estimate),
+			rack: racks.NewTask(sub.Queue.Name, locality.Key{Service: sub.Queue.Service, Rack: spec.PreferredRack}, spec.CPU)})
+	}
+	return j
+}
+
 // CallerLeft handles a request whose caller no longer waits. A job for which no
 // caller waits is given up.
 func (b *Broker) CallerLeft(now time.Duration, id string, w Waiter) {
@@ -243,8 +259,7 @@
 	if a == nil || a.id != id {
 		return
 	}
-	a.load = m.Load
-	a.dropReported()
+	a.view.Report(m.Load)
 	defer b.reported(now, a)
 	t := b.taskOf(m.Attempt)
 	if t == nil || t.agent != a {
@@ -259,6 +274,7 @@
 		t.liveAt = nil
 		if !t.started {
 			t.started, t.startedAt = true, now
+			b.racks.Started(now, t.rack, now-t.assignedAt, t.expected)
 			t.job.started = true
 		}
 		if t.onlyIfWaiting {
@@ -287,11 +303,13 @@
 	a := t.agent
 	j := t.job
 	withdrawn := t.withdrawn
+	b.rackReleased(now, t)
 	b.detach(t)
 	t.liveAt = nil
 	if m.State != wire.RunNotStarted || mayHaveRun[m.Reason] {
 		j.started = true
 	}
+	b.noteCutShort(now, t, a, m)
 	switch m.State {
 	case wire.RunDone:
 		b.succeeded(now, t, a, m)
@@ -300,8 +318,10 @@
 	case wire.RunNotStarted:
 		b.notStarted(now, t, a, m, withdrawn)
 	default:
-		crashes, _ := b.poison.Suspicion(m.Attempt.Task)
-		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "cut-short", Reason: m.Reason, Crashes: crashes})
+		if m.Reason != reasonPreempted {
+			crashes, _ := b.poison.Suspicion(m.Attempt.Task)
+			b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "cut-short", Reason: m.Reason, Crashes: crashes})
+		}
 		if endUnknown[m.Reason] && !withdrawn {
 			b.runLost(now, t)
 		}
@@ -315,7 +335,7 @@
 	t.done = true
 	t.runTime = time.Duration(m.RanMS) * time.Millisecond
 	j.openTasks--
-	j.stats.addRun(t.runTime, t.spec.Estimate, a.load.Slowness)
+	j.stats.Add(b.runTimeOnRack(t, a), t.spec.Estimate, a.view.Load.Slowness)
 	if j.openTasks == 0 && !j.closing {
 		b.close(now, j, Outcome{Kind: Completed})
 	}
@@ -387,7 +407,7 @@
 // agentWideRefusals are the agent's reasons that apply to all tasks.
 var agentWideRefusals = map[string]bool{
 	"no-upstream": true, "agent-leaving": true, "draining": true, "departed": true, "not-ready": true,
-	"other-service": true, "upstream-gone": true, "upstream-silent": true,
+	"other-service": true, "upstream-gone": true, "upstream-silent": true, reasonEvacuated: true,
 }
 
 // upstreamRefusalPrefix is the prefix of the reasons of an upstream that has refused
--- /dev/null
+++ b/internal/broker/locality.go
@@ -0,0 +1,258 @@
+package broker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/placement"
+)
+
+// A task that prefers a rack may wait for it: at an agent of the rack, or held by the entry
+// among the unplaced tasks. A held task reserves nothing, and is decided again on each report
+// of an agent of its rack and on the tick.
+
+// maxRedecisions bounds the held tasks that are decided again on a tick before their hold is
+// over. Reports of their rack decide them anyway.
+const maxRedecisions = 16
+
+func (a *agent) onRack(rack string) bool { return slices.Contains(a.view.Load.Labels, rack) }
+
+// option is an agent on which a task could run; its agent is nil if there is none.
+type option struct {
+	agent  *agent
+	scored placement.Candidate
+}
+
+// input returns the option as the decision sees it.
+func (o option) input() locality.Option {
+	c := o.scored
+	return locality.Option{Usable: o.agent != nil, Wait: c.Wait, Run: c.Run, Penalty: c.Score() - c.Wait - c.Run}
+}
+
+// rackOptions are the best options on a task's rack and off it.
+type rackOptions struct{ near, far option }
+
+func (r *rackOptions) add(a *agent, c placement.Candidate, t *task, within time.Duration) {
+	o := &r.far
+	if a.onRack(t.spec.PreferredRack) {
+		o = &r.near
+	}
+	if o.agent == nil || c.Better(o.scored, within) {
+		*o = option{agent: a, scored: c}
+	}
+}
+
+// chosen returns the option that a decision stands for, and whether the task is held instead.
+func (r *rackOptions) chosen(d locality.Decision) (o option, hold bool) {
+	switch d.Action {
+	case locality.NearNow, locality.QueueNear:
+		return r.near, false
+	case locality.Far:
+		return r.far, false
+	}
+	return option{}, d.Action == locality.Hold
+}
+
+// rackOptions returns the best agents on the task's rack and off it.
+func (b *Broker) rackOptions(now time.Duration, t *task) (r rackOptions) {
+	b.racks.LearnFactor(t.rack)
+	within := t.job.timeLeft(now)
+	for _, a := range b.agentList {
+		c, excluded := b.assess(now, a, t)
+		if excluded != "" {
+			continue
+		}
+		c.Random = time.Duration(b.random.Int63n(int64(spreadJitter)))
+		r.add(a, c, t, within)
+	}
+	return r
+}
+
+// rackInput returns what the decision about a task depends on, beside what was learned.
+func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
+	return locality.Input{Now: now, Near: r.near.input(), Far: r.far.input(), Left: b.waitLeft(now, t), JobEnd: t.job.endOfOthers(now, t)}
+}
+
+// choose returns the agent for a task, or nil. hold is set if the task is to be held for its
+// rack.
+func (b *Broker) choose(now time.Duration, t *task) (best *agent, chosen placement.Candidate, hold bool) {
+	if t.rack == nil {
+		best, chosen = b.chooseAgent(now, t)
+		return best, chosen, false
+	}
+	r := b.rackOptions(now, t)
+	o, hold := r.chosen(b.racks.Choose(t.rack, b.rackInput(now, t, r), b.heldCPU(t)))
+	return o.agent, o.scored, hold
+}
+
+// waitLeft returns how long the task may still wait with its job on time.
+func (b *Broker) waitLeft(now time.Duration, t *task) time.Duration {
+	j := t.job
+	share := 1.0
+	if !j.started && !t.acceptedToWait {
+		// A longer predicted wait leads to a refusal at admission.
+		share = maxWaitShare
+	}
+	return j.arrived + time.Duration(share*float64(j.slack())) - now
+}
+
+// endOfOthers returns the time until the last other task of the job is expected to end.
+func (j *job) endOfOthers(now time.Duration, t *task) time.Duration {
+	end := now
+	for _, o := range j.tasks {
+		if o != t && !o.done && o.rack != nil {
+			end = max(end, o.rack.EndAt)
+		}
+	}
+	return end - now
+}
+
+// heldCPU returns the size of the tasks that are held for the task's rack before it.
+func (b *Broker) heldCPU(t *task) int {
+	sum := 0
+	for _, o := range b.unplaced {
+		if o == t {
+			break
+		}
+		if o.rack.Held() && o.rack.Key == t.rack.Key {
+			sum += o.spec.CPU
+		}
+	}
+	return sum
+}
+
+// hold adds a task to those that are held for their rack.
+func (b *Broker) hold(now time.Duration, t *task) {
+	b.retainTask(now, t)
+	t.acceptedToWait = true
+	if p := b.racks.Hold(now, t.rack); p != nil {
+		d := t.rack.Decision
+		b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Action: "hold", Reason: d.Reason, Wait: d.Until - now, Rack: p})
+	}
+}
+
+// rackReleased counts the capacity of an attempt that has ended, at each rack of its agent.
+func (b *Broker) rackReleased(now time.Duration, t *task) {
+	if t.rack == nil {
+		return
+	}
+	t.rack.EndAt = 0
+	if t.started {
+		for _, label := range t.agent.view.Load.Labels {
+			b.racks.Released(now, locality.Key{Service: t.rack.Key.Service, Rack: label}, t.spec.CPU)
+		}
+	}
+}
+
+// runTimeOnRack learns from a run that has succeeded, and returns the run time that it would
+// have had on its rack.
+func (b *Broker) runTimeOnRack(t *task, a *agent) time.Duration {
+	if t.rack == nil {
+		return t.runTime
+	}
+	ratio := float64(t.runTime) / max(float64(t.expected)*a.view.Slowdown(), 1)
+	return time.Duration(float64(t.runTime) / b.racks.Succeeded(t.rack, ratio))
+}
+
+// rackReported decides the tasks again that are held for the rack of an agent with a new
+// report, the most urgent first and then in the order of their arrival.
+func (b *Broker) rackReported(now time.Duration, a *agent) {
+	if len(b.racks.Keys()) == 0 || !a.usable(now, &b.settings) {
+		return
+	}
+	defer b.moveToFreeRackmate(now, a)
+	var waiting []*task
+	for _, t := range b.unplaced {
+		if t.rack.Held() && a.onRack(t.rack.Key.Rack) {
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortStableFunc(waiting, func(x, y *task) int {
+		return cmp.Compare(x.job.sub.Queue.Priority, y.job.sub.Queue.Priority)
+	})
+	for _, t := range waiting {
+		if t.unplaced && !t.job.closing && a.view.Wait(t.demand()) == 0 {
+			b.place(now, t)
+		}
+	}
+}
+
+// minQueued is the time that a task waits at an agent before it may move to another one of
+// its rack: a round trip and the agent's work.
+const minQueued = 5 * time.Millisecond
+
+// moveToFreeRackmate withdraws tasks that wait at other agents of the rack for an agent with a
+// new report, as many as it has free capacity for. They are placed again, and wait together for
+// all agents of the rack in this way.
+func (b *Broker) moveToFreeRackmate(now time.Duration, a *agent) {
+	free, _, _ := a.view.Free(0)
+	if free <= 0 || a.view.Load.Stuck {
+		return
+	}
+	for _, o := range b.agentList {
+		for _, t := range o.tasks {
+			if o == a || t.rack == nil || !t.rack.Queued() || t.started || t.withdrawn || t.job.closing ||
+				now-t.assignedAt < minQueued || !a.onRack(t.rack.Key.Rack) {
+				continue
+			}
+			if t.spec.CPU > free || a.view.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
+				continue
+			}
+			free -= t.spec.CPU
+			b.withdrawRacked(now, t, a, "rack-free")
+		}
+	}
+}
+
+// observeRacks renews what is known of the racks that tasks have named.
+func (b *Broker) observeRacks(now time.Duration) {
+	b.racks.Forget(now)
+	for _, key := range b.racks.Keys() {
+		var r locality.RackReport
+		for _, a := range b.agentList {
+			if a.service != key.Service || !a.usable(now, &b.settings) {
+				continue
+			}
+			free, _, _ := a.view.Free(0)
+			r.Add(a.onRack(key.Rack), a.view.Load.CapacityCPU, free)
+		}
+		b.racks.Observe(now, key, r)
+	}
+}
+
+// placeHeld reports whether a held task is to be decided again on a tick: its hold is over,
+// its rack has no usable agent left, or few others were decided on this tick.
+func (b *Broker) placeHeld(now time.Duration, t *task, decided *int) bool {
+	if now >= t.rack.WaitUntil || !b.racks.Available(t.rack.Key) {
+		return true
+	}
+	*decided++
+	return *decided <= maxRedecisions
+}
+
+// moveRacked withdraws a waiting task that prefers a rack from an agent, if another agent of
+// the rack is free, or if the wait has lasted as long as pays off and others are free.
+func (b *Broker) moveRacked(now time.Duration, a *agent, t *task) {
+	r := b.rackOptions(now, t)
+	here := b.candidate(a, t).Score()
+	usable := a.usable(now, &b.settings)
+	better := func(o option) bool {
+		return o.agent != nil && o.agent != a && o.scored.Wait == 0 && (!usable || here-o.scored.Score() >= minMoveGain)
+	}
+	switch {
+	case better(r.near):
+		b.withdrawRacked(now, t, r.near.agent, "moved")
+	case better(r.far) && !(usable && t.rack.Near && now < t.rack.WaitUntil):
+		b.withdrawRacked(now, t, r.far.agent, "moved")
+	}
+}
+
+// withdrawRacked withdraws a waiting task from its agent because another one is free.
+func (b *Broker) withdrawRacked(now time.Duration, t *task, to *agent, reason string) {
+	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: t.agent.id.Host, Action: "withdraw", Reason: reason,
+		Wait: now - t.assignedAt, ReportAge: now - to.heartbeatAt, FreeCPU: to.view.Load.FreeCPU})
+	b.racks.WaitEnded(now, t.rack, now-t.assignedAt)
+	b.withdraw(now, t, true)
+}
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -5,12 +5,16 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/capacity"
+	"github.com/damasklb/damasklb/internal/explain"
+	"github.com/damasklb/damasklb/internal/placement"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// Placement handles loads from idle to just above capacity: a task goes where it
-// is expected to end first. The wait at an agent is predicted from the agent's
-// last report and from what was sent to it since.
+// Placement handles loads from idle to just above capacity: a task goes where it starts at
+// once and its job ends on time, and among such upstreams where it is expected to end first.
+// The wait at an agent is predicted from the agent's last report and from what was sent to
+// it since.
 const (
 	// spreadPenalty is added to the score of a fully used upstream, and a
 	// proportional part for a partly used one. It spreads the tasks of entries that
@@ -29,9 +33,6 @@
 	toleratedFailurePercent = 12
 	// stuckPenalty is added for an upstream whose runs make no progress.
 	stuckPenalty = 5 * time.Second
-	// turnover is the time in which a busy upstream completes as much work as it
-	// runs at a time, until run times are learned.
-	turnover = 200 * time.Millisecond
 	// avoidAfterRefusal is the time without new tasks for an agent that has
 	// refused one for a reason other than load.
 	avoidAfterRefusal = 100 * time.Millisecond
@@ -49,45 +50,15 @@
 	minReassignAfter   = 150 * time.Millisecond
 )
 
-// freeCapacity returns the free capacity and the waiting work at an agent for a
-// priority, after what was assigned since its last report.
-func (a *agent) freeCapacity(priority int) (cpu, mem int, workMS int) {
-	cpu, mem = a.load.FreeCPU, a.load.FreeMem
-	for i, w := range a.load.QueuedWork {
-		if i <= wire.PriorityLevel(priority) {
-			workMS += int(w)
-		}
-	}
-	for _, u := range a.unreported {
-		cpu -= u.cpu
-		mem -= u.mem
-		workMS += u.workMS
-	}
-	return cpu, mem, workMS
-}
-
-// queuedWork returns the work that waits at the agent at all priorities, in
-// milliseconds.
-func (a *agent) queuedWork() int {
-	sum := 0
-	for _, w := range a.load.QueuedWork {
-		sum += int(w)
-	}
-	return sum
-}
-
-// slowdown returns the upstream's run time relative to the expected one.
-func (a *agent) slowdown() float64 { return max(float64(a.load.Slowness)/100, 0.5) }
-
 // serves reports whether the agent's upstream may run the task.
 func (a *agent) serves(t *task) bool {
-	if a.load.Service != t.job.sub.Queue.Service {
+	if a.view.Load.Service != t.job.sub.Queue.Service {
 		return false
 	}
-	if t.spec.RequiredLabel != "" && !slices.Contains(a.load.Labels, t.spec.RequiredLabel) {
+	if t.spec.RequiredLabel != "" && !slices.Contains(a.view.Load.Labels, t.spec.RequiredLabel) {
 		return false
 	}
-	return t.spec.CPU <= a.load.CapacityCPU && t.spec.MemMB <= a.load.CapacityMem
+	return t.spec.CPU <= a.view.Load.CapacityCPU && t.spec.MemMB <= a.view.Load.CapacityMem
 }
 
 // atJobLimit reports whether the upstream has as many tasks of the job as may run
@@ -97,109 +68,89 @@
 		return false
 	}
 	n := 0
-	for _, other := range a.tasks {
-		if other.job == t.job {
+	for _, other := range t.job.tasks {
+		if other != t && (other.plannedFor == a.key || (other.agent != nil && other.agent.key == a.key)) {
 			n++
 		}
 	}
 	return n >= t.spec.MaxPerUpstream
 }
 
-// predictWait predicts how long the task would wait at the agent.
-func (b *Broker) predictWait(a *agent, t *task) time.Duration {
-	cpu, mem, workMS := a.freeCapacity(t.job.sub.Queue.Priority)
-	if cpu >= t.spec.CPU && mem >= t.spec.MemMB && workMS == 0 {
-		return 0
-	}
-	// Work that was assigned since the last report counts as waiting only as
-	// far as it exceeds the free capacity.
-	untilFree := float64(turnover) * float64(t.spec.CPU) / float64(max(a.load.CapacityCPU, 1))
-	if cpu >= t.spec.CPU && mem >= t.spec.MemMB && a.queuedWork() == 0 {
-		return 0
+// candidate returns what speaks for and against the agent's upstream for the task. It draws
+// no random number.
+func (b *Broker) candidate(a *agent, t *task) placement.Candidate {
+	c := placement.Candidate{Wait: a.view.Wait(t.demand()), Run: time.Duration(float64(t.expected) * a.view.Slowdown())}
+	if t.spec.PreferredRack != "" && !slices.Contains(a.view.Load.Labels, t.spec.PreferredRack) {
+		c.Run = time.Duration(float64(c.Run) * t.rack.OffRack(b.settings.FarRackFactor))
 	}
-	share := a.availableShare(t.job.sub.Queue.Priority)
-	return time.Duration((float64(workMS)*float64(time.Millisecond) + untilFree) * max(a.slowdown(), 1) / share)
-}
-
-// availableShare returns the share of the upstream that more urgent work leaves to
-// a priority: more urgent work goes first even if it arrives later.
-func (a *agent) availableShare(priority int) float64 {
-	percent := 0
-	for i := range wire.PriorityLevel(priority) {
-		percent += int(a.load.BusyPercent[i])
-	}
-	return max(1-float64(percent)/100, minAvailableShare)
-}
-
-// minAvailableShare is the smallest share that more urgent work is assumed to leave,
-// because its present share may be a short peak.
-const minAvailableShare = 0.25
-
-// score returns the expected time until the task's end at the agent, with penalties,
-// and the wait in it.
-func (b *Broker) score(a *agent, t *task) (score, wait time.Duration) {
-	wait = b.predictWait(a, t)
-	run := float64(t.expected) * a.slowdown()
-	if t.spec.PreferredRack != "" && !slices.Contains(a.load.Labels, t.spec.PreferredRack) {
-		run *= b.settings.FarRackFactor
-	}
-	score = wait + time.Duration(run)
 	if a.dataCentre != b.settings.DataCentre {
-		score += 2 * b.settings.Distance
+		c.Travel = 2 * b.settings.Distance
 	}
-	cpu, _, _ := a.freeCapacity(t.job.sub.Queue.Priority)
-	used := 1 - float64(max(cpu, 0))/float64(max(a.load.CapacityCPU, 1))
-	score += time.Duration(used * float64(spreadPenalty))
-	score += time.Duration(b.random.Int63n(int64(spreadJitter)))
-	if f := a.load.FailurePercent; f > toleratedFailurePercent {
-		score += failurePenalty * time.Duration(f) / 100
+	c.Spread = time.Duration(a.view.Used(t.job.sub.Queue.Priority) * float64(spreadPenalty))
+	if f := a.view.Load.FailurePercent; f > toleratedFailurePercent {
+		c.Failing = failurePenalty * time.Duration(f) / 100
 	}
 	if t.avoidHost == a.id.Host {
-		score += avoidPenalty
+		c.Avoided = avoidPenalty
 	}
-	if a.load.Stuck {
-		score += stuckPenalty
+	if a.view.Load.Stuck {
+		c.Stuck = stuckPenalty
 	}
-	return score, wait
+	return c
+}
+
+// assess returns what speaks for and against the agent's upstream for the task, or the
+// reason why the task cannot be placed there. It changes nothing.
+func (b *Broker) assess(now time.Duration, a *agent, t *task) (c placement.Candidate, excluded string) {
+	switch {
+	case !a.usable(now, &b.settings):
+		return c, excludedUnusable
+	case !a.serves(t):
+		return c, excludedOther
+	case a.atJobLimit(t):
+		return c, excludedJobLimit
+	}
+	allowed, penalty := b.mayTry(now, a, t)
+	if !allowed {
+		return c, excludedSuspects
+	}
+	c = b.candidate(a, t)
+	c.Suspect = penalty
+	return c, ""
 }
 
-// chooseAgent returns the agent where the task is expected to end first, or nil.
-func (b *Broker) chooseAgent(now time.Duration, t *task) (best *agent, score, wait time.Duration) {
+// chooseAgent returns the agent where the task is placed best, or nil.
+func (b *Broker) chooseAgent(now time.Duration, t *task) (best *agent, chosen placement.Candidate) {
+	within := t.job.timeLeft(now)
 	for _, a := range b.agentList {
-		if !a.usable(now, &b.settings) || !a.serves(t) || a.atJobLimit(t) {
+		c, excluded := b.assess(now, a, t)
+		if excluded != "" {
 			continue
 		}
-		allowed, penalty := b.mayTry(now, a, t)
-		if !allowed {
-			continue
-		}
-		s, w := b.score(a, t)
-		s += penalty
-		if best == nil || s < score {
-			best, score, wait = a, s, w
+		c.Random = time.Duration(b.random.Int63n(int64(spreadJitter)))
+		if best == nil || c.Better(chosen, within) {
+			best, chosen = a, c
 		}
 	}
-	return best, score, wait
+	return best, chosen
 }
 
-// placement is a planned assignment of a task. Its agent is nil if none can take
-// the task.
-type placement struct {
+// planned is a planned assignment of a task. Its agent is nil if none can take the task, or if
+// hold is set: the task waits at the entry for its rack.
+type planned struct {
 	task  *task
 	agent *agent
 	wait  time.Duration
+	hold  bool
 }
 
 // plan chooses agents for all tasks of a job and reserves their capacity. The largest tasks
 // choose first, because small ones fit in what they leave.
-func (b *Broker) plan(now time.Duration, j *job) []placement {
-	placements := make([]placement, len(j.tasks))
-	bySize := slices.SortedStableFunc(slices.Values(j.tasks), func(x, y *task) int {
-		return cmp.Compare(y.spec.CPU, x.spec.CPU)
-	})
-	for i, t := range bySize {
-		a, _, wait := b.chooseAgent(now, t)
-		placements[i] = placement{task: t, agent: a, wait: wait}
+func (b *Broker) plan(now time.Duration, j *job) []planned {
+	placements := make([]planned, len(j.tasks))
+	for i, t := range j.bySize() {
+		a, c, hold := b.choose(now, t)
+		placements[i] = planned{task: t, agent: a, wait: c.Wait, hold: hold}
 		if a != nil {
 			a.reserve(now, t)
 		}
@@ -207,6 +158,13 @@
 	return placements
 }
 
+// bySize returns the job's tasks in the order in which they choose.
+func (j *job) bySize() []*task {
+	return slices.SortedStableFunc(slices.Values(j.tasks), func(x, y *task) int {
+		return cmp.Compare(y.spec.CPU, x.spec.CPU)
+	})
+}
+
 // exceedsAll reports whether the task is larger than each known upstream of its service,
 // those included that are down.
 func (b *Broker) exceedsAll(now time.Duration, t *task) bool {
@@ -226,18 +184,12 @@
 	return known
 }
 
-// tooLarge is the outcome of a job with a task that exceeds all upstreams. Their capacity may
-// grow again.
-func (b *Broker) tooLarge() Outcome {
-	return Outcome{Kind: Refused, Reason: reasonTooLarge, RetryAfter: b.jitter(tooLargeRetryAfter)}
-}
-
 // cancelPlan releases the reserved capacity.
-func cancelPlan(placements []placement) {
+func cancelPlan(placements []planned) {
 	for i := len(placements) - 1; i >= 0; i-- {
 		if a := placements[i].agent; a != nil {
-			a.seq--
-			a.unreported = a.unreported[:len(a.unreported)-1]
+			placements[i].task.plannedFor = ""
+			a.view.CancelLast()
 		}
 	}
 }
@@ -245,16 +197,21 @@
 // reserve counts a task against the agent's free capacity until a report includes
 // it.
 func (a *agent) reserve(now time.Duration, t *task) {
-	a.seq++
-	t.seq = a.seq
-	a.unreported = append(a.unreported, unreportedAssign{seq: a.seq, at: now, cpu: t.spec.CPU, mem: t.spec.MemMB,
-		workMS: t.spec.CPU * int(t.expected/time.Millisecond) / max(a.load.CapacityCPU, 1)})
+	t.plannedFor = a.key
+	d := t.demand()
+	d.Expected = t.rack.RunTime(t.expected)
+	t.seq = a.view.Reserve(now, d)
+}
+
+// demand returns what the task takes of an upstream's capacity.
+func (t *task) demand() capacity.Task {
+	return capacity.Task{CPU: t.spec.CPU, MemMB: t.spec.MemMB, Priority: t.job.sub.Queue.Priority, Expected: t.expected}
 }
 
 // place assigns a task to an agent, or retains it until one can take it. It is for
 // retained tasks and for tasks whose attempt has ended.
 func (b *Broker) place(now time.Duration, t *task) {
-	if now < b.suspendedUntil {
+	if b.suspended(now) {
 		b.retainTask(now, t)
 		return
 	}
@@ -262,22 +219,22 @@
 		b.placeWhereLive(now, t)
 		return
 	}
-	a, _, wait := b.chooseAgent(now, t)
-	if a == nil && b.exceedsAll(now, t) {
-		b.close(now, t.job, b.tooLarge())
+	a, chosen, hold := b.choose(now, t)
+	if hold {
+		b.hold(now, t)
 		return
 	}
-	if a == nil || (wait > 0 && now < b.agentsExpectedUntil) {
+	switch v := b.judgeTask(now, t, a, chosen.Wait); v.Action {
+	case explain.Hold:
 		b.retainTask(now, t)
-		return
-	}
-	b.releaseTask(t)
-	if b.tooLate(now, t, wait) {
-		b.close(now, t.job, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.retryAfter(t.job)})
-		return
+	case explain.Refuse:
+		b.releaseTask(t)
+		b.close(now, t.job, b.refusal(v))
+	default:
+		b.releaseTask(t)
+		a.reserve(now, t)
+		b.assign(now, a, t, chosen.Wait)
 	}
-	a.reserve(now, t)
-	b.assign(now, a, t, wait)
 }
 
 // placeWhereLive assigns a task to the agent that has reported another run of it as live.
@@ -307,7 +264,7 @@
 	j := t.job
 	t.run = max(t.run, j.earlierLastRun) + 1
 	j.lastRun = max(j.lastRun, t.run)
-	t.agent = a
+	t.agent, t.plannedFor = a, ""
 	t.assignedAt = now
 	t.acceptedToWait = t.acceptedToWait || wait > 0
 	a.tasks = append(a.tasks, t)
@@ -315,11 +272,12 @@
 	m := &wire.Assign{
 		Attempt: t.attempt(), Service: j.sub.Queue.Service, Spec: j.sub.Spec,
 		CPU: t.spec.CPU, MemMB: t.spec.MemMB, Priority: j.sub.Queue.Priority,
-		ExpectedMS: uint32(t.expected / time.Millisecond), EchoMS: a.echoMS, Seq: t.seq,
+		ExpectedMS: uint32(t.rack.RunTime(t.expected) / time.Millisecond), EchoMS: a.echoMS, Seq: t.seq,
 		Queue:   j.sub.Queue.Name,
 		SlackMS: int((j.arrived + j.slack() - now) / time.Millisecond),
 	}
 	b.beginTrial(now, a, t, m)
+	m.MayYield = b.mayYield(now, t, wait)
 	if wait == 0 && t.rejections < maxOffers {
 		m.OnlyIfFits = true
 	}
@@ -327,8 +285,10 @@
 		m.StartWithinMS = uint32(max(j.arrived+j.startLimit()-now, time.Millisecond) / time.Millisecond)
 	}
 	b.send(a, m)
-	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "assign",
-		Wait: wait, ReportAge: now - a.heartbeatAt, FreeCPU: a.load.FreeCPU})
+	d := Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "assign",
+		Wait: wait, ReportAge: now - a.heartbeatAt, FreeCPU: a.view.Load.FreeCPU}
+	d.Reason, d.Rack = b.racks.Assigned(now, t.rack)
+	b.emit(d)
 }
 
 // moveWaiting withdraws tasks that still wait from busy agents while others have
@@ -345,16 +305,19 @@
 }
 
 func (b *Broker) move(now time.Duration, a *agent, t *task) {
-	best, score, wait := b.chooseAgent(now, t)
-	if best == nil || best == a || wait > 0 {
+	if t.rack != nil {
+		b.moveRacked(now, a, t)
+		return
+	}
+	best, chosen := b.chooseAgent(now, t)
+	if best == nil || best == a || chosen.Wait > 0 {
 		return
 	}
-	here, _ := b.score(a, t)
-	if here-score < minMoveGain && a.usable(now, &b.settings) {
+	if here := b.candidate(a, t); here.Score()-chosen.Score() < minMoveGain && a.usable(now, &b.settings) {
 		return
 	}
 	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "withdraw", Reason: "moved",
-		Wait: now - t.assignedAt, ReportAge: now - best.heartbeatAt, FreeCPU: best.load.FreeCPU})
+		Wait: now - t.assignedAt, ReportAge: now - best.heartbeatAt, FreeCPU: best.view.Load.FreeCPU})
 	b.withdraw(now, t, true)
 }
 
@@ -362,7 +325,7 @@
 // elsewhere.
 func (b *Broker) reassignStuck(now time.Duration) {
 	for _, a := range b.agentList {
-		if !a.load.Stuck {
+		if !a.view.Load.Stuck {
 			continue
 		}
 		for _, t := range a.tasks {
@@ -385,7 +348,7 @@
 		switch {
 		case other.done && (ended == 0 || other.runTime < ended):
 			ended = other.runTime
-		case other.started && !other.agent.load.Stuck:
+		case other.started && !other.agent.view.Load.Stuck:
 			running = max(running, now-other.startedAt)
 		}
 	}
@@ -393,5 +356,5 @@
 	if reference == 0 {
 		reference = running
 	}
-	return max(minReassignAfter, reassignFactor*t.expected, reassignFactor*reference)
+	return max(minReassignAfter, reassignFactor*t.rack.RunTime(t.expected), reassignFactor*reference)
 }
--- a/internal/broker/quarantine.go
+++ b/internal/broker/quarantine.go
@@ -36,7 +36,7 @@
 	byService := map[string][]*agent{}
 	for _, a := range b.agentList {
 		a.quarantined = false
-		if a.key == a.id.Host && a.service != "" {
+		if a.key == a.id.Host && a.service != "" && !a.evacuated {
 			byService[a.service] = append(byService[a.service], a)
 		}
 	}
@@ -56,7 +56,7 @@
 	for _, a := range agents {
 		capacity += a.capacityCPU
 		if a.present(now, &b.settings) {
-			used += a.load.CapacityCPU - a.load.FreeCPU
+			used += a.view.Load.CapacityCPU - a.view.Load.FreeCPU
 		} else {
 			down++
 		}
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -79,8 +79,8 @@
 // before it could report the crash.
 func (b *Broker) restartedUnder(now time.Duration, earlier *agent) {
 	present := b.agents[earlier.id.Host]
-	before := earlier.load.StartMS
-	if present == nil || before == 0 || present.load.StartMS == 0 || present.load.StartMS == before || earlier.load.Draining {
+	before := earlier.view.Load.StartMS
+	if present == nil || before == 0 || present.view.Load.StartMS == 0 || present.view.Load.StartMS == before || earlier.view.Load.Draining {
 		return
 	}
 	c := wire.UpstreamCrash{StartMS: before}
@@ -161,10 +161,10 @@
 	if trial != wire.TrialNone && !a.quarantined {
 		penalty += trialPenalty
 	}
-	if a.load.Trial == wire.TrialNone && a.suspects == 0 {
+	if a.view.Load.Trial == wire.TrialNone && a.suspects == 0 {
 		return true, penalty
 	}
-	other := a.load.Trial
+	other := a.view.Load.Trial
 	for _, o := range a.tasks {
 		switch trial := o.trialAt(now); {
 		case o.job != t.job:
--- a/internal/broker/verify.go
+++ b/internal/broker/verify.go
@@ -39,14 +39,13 @@
 			b.nextQuery = (b.nextQuery + i) % len(b.agentList)
 			break
 		}
-		if now-a.reportAt <= reportMaxAge || !a.usable(now, &b.settings) || !a.serves(j.tasks[0]) {
+		if !b.reportOutdated(now, a, j) {
 			continue
 		}
 		v.queried = append(v.queried, a)
 		if now-a.queriedAt > reportMaxAge || a.queriedAt == 0 {
 			a.queriedAt = now
-			a.confirmedAt = now
-			b.send(a, &wire.EntryBeat{EchoMS: a.echoMS, ReportNow: true})
+			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.echoMS, ReportNow: true})
 		}
 	}
 	if len(v.queried) == 0 {
@@ -56,9 +55,16 @@
 	return true
 }
 
+// reportOutdated reports whether a refusal of the job must not rest on the agent's last
+// report.
+func (b *Broker) reportOutdated(now time.Duration, a *agent, j *job) bool {
+	return now-a.reportAt > reportMaxAge && a.usable(now, &b.settings) && a.serves(j.tasks[0])
+}
+
 // reported handles a new report of an agent.
 func (b *Broker) reported(now time.Duration, a *agent) {
 	a.reportAt = now
+	b.rackReported(now, a)
 	if len(b.verifying) == 0 {
 		return
 	}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -68,13 +68,15 @@
 	fs := newFlagSet("platform", env)
 	return &ffcli.Command{
 		Name:       "platform",
-		ShortUsage: "damasklb platform <entry|agent|check>",
+		ShortUsage: "damasklb platform <entry|agent|check|status|explain>",
 		ShortHelp:  "run on the hosting platform, with its settings file",
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
 			platformCommand(env, "entry", "serve callers on a front host", runPlatformEntry),
 			platformCommand(env, "agent", "run beside an upstream and start its tasks", runPlatformAgent),
 			platformCommand(env, "check", "read the settings file and print what it says", checkPlatform),
+			newPlatformStatus(env),
+			newPlatformExplain(env),
 		},
 		Exec: unknownCommand("platform", fs),
 	}
@@ -124,7 +126,19 @@
 
 // runnerSettings returns the runner's settings on the platform.
 func runnerSettings(s platform.Settings) runner.Settings {
-	return runner.DefaultSettings(s.ResendAfter, s.MaxLease)
+	r := runner.DefaultSettings(s.ResendAfter, s.MaxLease)
+	r.DataCentre, r.EvacuateWithin = s.DataCentre, s.EvacuateWithin
+	r.Preemption = s.Preemption
+	return r
+}
+
+// evacuationOptions returns where evacuation requests are found, if operators of the
+// deployment make any.
+func evacuationOptions(s platform.Settings) leased.EvacuationOptions {
+	if s.EvacuateWithin == 0 {
+		return leased.EvacuationOptions{}
+	}
+	return leased.EvacuationOptions{Prefix: platform.EvacuationPrefix, DataCentres: s.DataCentres}
 }
 
 // runsEndedAfter returns the time after an entry's last message to an agent by which
@@ -163,6 +177,8 @@
 type platformProcess interface {
 	Drain(grace time.Duration)
 	Stop()
+	// Pages returns the handler of the metrics' address: the pages for operators, and rest.
+	Pages(rest http.Handler) http.Handler
 }
 
 // runPlatformProcess runs an entry or an agent on the platform until SIGTERM or an interrupt.
@@ -182,7 +198,8 @@
 	if err != nil {
 		return err
 	}
-	closeAll, err := serveAll(append(endpoints, endpoint{metricsAddress(s), http.HandlerFunc(writeMetrics)}), log)
+	pages := process.Pages(http.HandlerFunc(writeMetrics))
+	closeAll, err := serveAll(append(endpoints, endpoint{metricsAddress(s), pages}), log)
 	if err != nil {
 		return err
 	}
@@ -200,9 +217,13 @@
 func startPlatformEntry(s platform.Settings, info leased.ProcessInfo, log *slog.Logger) (platformProcess, []endpoint, error) {
 	settings := broker.DefaultSettings(s.DataCentre, runsEndedAfter(s))
 	settings.FarRackFactor = s.FarRackFactor
+	settings.Locality.MaxWait = s.RackMaxWait
+	settings.EvacuateWithin = s.EvacuateWithin
+	settings.Preemption = s.Preemption
 	e, err := leased.StartEntry(leased.EntryOptions{
 		Process: info, Broker: settings, Store: newStore(s),
-		ConfigKey: platform.ConfigKey, ConfigTable: platform.ConfigTable, Decode: platform.DecodeConfig, Log: log,
+		ConfigKey: platform.ConfigKey, ConfigTable: platform.ConfigTable, Decode: platform.DecodeConfig,
+		Evacuations: evacuationOptions(s), Log: log,
 	})
 	if err != nil {
 		return nil, nil, err
@@ -225,7 +246,7 @@
 		seeds = append(seeds, net.JoinHostPort(ip, strconv.Itoa(s.FirstPort)))
 	}
 	a := leased.StartAgent(leased.AgentOptions{
-		Process: info, Runner: runnerSettings(s), Store: newStore(s), Seeds: seeds,
+		Process: info, Runner: runnerSettings(s), Store: newStore(s), Seeds: seeds, Evacuations: evacuationOptions(s),
 		Upstream: platform.NewUpstream(
 			newClient(s.Upstream, commandConnections),
 			newClient(s.Upstream, listConnections)),
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -30,8 +30,10 @@
 	Store   platform.Feed
 	// Seeds are addresses at which an entry may listen for agents. The agent dials
 	// them at its start, before it has read the hosts table.
-	Seeds    []string
-	Upstream Upstream
+	Seeds []string
+	// Evacuations describes the operators' evacuation requests in the store.
+	Evacuations EvacuationOptions
+	Upstream    Upstream
 	// Token is the fencing token. It must be higher than the tokens of earlier agent
 	// processes on this host.
 	Token uint64
@@ -85,9 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		options: o, log: o.Log, ctx: ctx, cancel: cancel,
-		// The agent's clock starts at one hour, so that an echoed clock of 0 is
-		// older than any limit.
-		clockZero:     boottime.Now() - time.Hour,
+		clockZero:     boottime.Now() - agentClockStart,
 		core:          runner.New(o.Runner),
 		links:         map[runner.EntryID]*link{},
 		dials:         map[string]*dial{},
@@ -108,6 +108,10 @@
 	return a
 }
 
+// agentClockStart is the agent's clock at its start. It is so late that an echoed clock of 0
+// is older than any limit.
+const agentClockStart = time.Hour
+
 func (a *Agent) spawn(f func()) {
 	a.goroutines.Add(1)
 	go func() {
@@ -149,9 +153,18 @@
 		a.report(now, m)
 	case runner.Decision:
 		a.logDecision(m)
+	case runner.Preempted:
+		a.logPreempted(m)
+	case runner.PreemptedEnded:
+		a.logPreemptedEnded(m)
 	case runner.ReadyChanged:
 		a.log.Info("readiness changed", "ready", m.Ready)
 		a.sendHeartbeats(now, true)
+	case runner.QueryEvacuations:
+		a.spawn(func() { a.queryEvacuations(m) })
+	case runner.EvacuationChanged:
+		a.log.Warn("evacuation changed", "evacuated", m.Evacuated, "request_version", m.Version,
+			"running", m.Running, "returned", m.Returned)
 	case runner.Restored:
 		a.log.Info("upstream restored from the store", "instance", m.ID, "born", m.StartMS, "draining", m.Draining)
 	case runner.UpstreamCrashed:
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -27,8 +27,10 @@
 	// ConfigKey is the key of the configuration in the store; ConfigTable is the
 	// table that it belongs to.
 	ConfigKey, ConfigTable string
-	Decode                 func(content []byte) (*catalog.Catalog, error)
-	Log                    *slog.Logger
+	// Evacuations describes the operators' evacuation requests in ConfigTable.
+	Evacuations EvacuationOptions
+	Decode      func(content []byte) (*catalog.Catalog, error)
+	Log         *slog.Logger
 }
 
 // Entry accepts jobs and assigns their tasks to agents. Its methods are safe for
@@ -37,10 +39,12 @@
 	options    EntryOptions
 	log        *slog.Logger
 	clockZero  time.Duration
+	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	catalog    atomic.Pointer[catalog.Catalog]
 	draining   atomic.Bool
+	questions  questionGate
 
 	mu         sync.Mutex // guards the fields below
 	core       *broker.Broker
@@ -48,6 +52,8 @@
 	requests   map[broker.Waiter]*request
 	lastWaiter broker.Waiter
 	lastTick   time.Duration
+	// sections add the states of parts to the status.
+	sections map[string]EntrySection
 }
 
 // request is a caller's request without an answer so far.
@@ -64,7 +70,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
-		options: o, log: o.Log, cancel: cancel, clockZero: boottime.Now(),
+		options: o, log: o.Log, ctx: ctx, cancel: cancel, clockZero: boottime.Now(),
 		core:     broker.New(o.Broker, rand.NewSource(rand.Int63())),
 		links:    map[broker.AgentID]*transport.TCPLink{},
 		requests: map[broker.Waiter]*request{},
@@ -118,6 +124,8 @@
 		if r := e.requests[m.Waiter]; r != nil {
 			r.answer <- m.Outcome
 		}
+	case broker.QueryEvacuations:
+		e.spawn(e.queryEvacuations)
 	case broker.Decision:
 		decisionCounter(m.Action).Inc()
 		e.logDecision(m)
@@ -137,10 +145,20 @@
 	case "caution":
 		e.log.Warn("queue caution changed", "queue", m.Queue, "caution", m.Reason)
 		return
+	case "evacuate", "evacuation-ended":
+		e.log.Warn(m.Action, "data_centre", m.Agent, "request_version", m.Version, "running", m.Runs, "taken_back", m.Tasks)
+		return
+	case "hold":
+		e.logRack(m)
+		return
 	case "give-up":
 		e.log.Warn("job given up", "job", m.Job, "reason", m.Reason, "crashes", m.Crashes)
 		return
 	}
+	if m.Rack != nil {
+		e.logRack(m)
+		return
+	}
 	e.log.Info(m.Action, "job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
 		"wait_ms", m.Wait.Milliseconds(), "age_ms", m.ReportAge.Milliseconds(), "free_cpu", m.FreeCPU, "crashes", m.Crashes)
 }
@@ -264,8 +282,9 @@
 	})
 }
 
-func (e *Entry) configChanged(rows []platform.Change, _ bool) {
-	for _, r := range rows {
+func (e *Entry) configChanged(u tableUpdate) {
+	e.evacuationsChanged(u)
+	for _, r := range u.rows {
 		if r.Key != e.options.ConfigKey || r.Deleted {
 			continue
 		}
@@ -283,8 +302,8 @@
 }
 
 // upstreamsChanged handles the crashes in changed rows of the upstreams table.
-func (e *Entry) upstreamsChanged(rows []platform.Change, _ bool) {
-	for _, r := range rows {
+func (e *Entry) upstreamsChanged(u tableUpdate) {
+	for _, r := range u.rows {
 		row, ok := decodeUpstreamRow(r.Value, e.log)
 		if !ok || r.Deleted {
 			continue
@@ -313,7 +332,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.core.HasAgent(e.now())
+	now := e.now()
+	return e.core.HasAgent(now) || e.core.HasEvacuatedAgent(now)
 }
 
 // Draining reports whether the entry is shutting down.
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/boottime"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -85,10 +86,21 @@
 	}
 }
 
-// follow calls changed with the rows of a table until ctx is done: with all rows
-// (all is set) at first and after the store has lost its history, otherwise with
-// the rows that changed.
-func follow(ctx context.Context, store platform.Feed, table string, wait time.Duration, log *slog.Logger, changed func(rows []platform.Change, all bool)) {
+// tableUpdate is one answer of the store about a followed table.
+type tableUpdate struct {
+	rows []platform.Change
+	// all is set if rows holds the whole table, not only the rows that changed.
+	all bool
+	// version is the store's version up to which rows is complete.
+	version uint64
+	// calledAt is when the call began, on the clock of package boottime.
+	calledAt time.Duration
+}
+
+// follow calls changed with each answer about a table until ctx is done: with all rows at
+// first and after the store has lost its history, otherwise with the rows that changed,
+// of which there may be none.
+func follow(ctx context.Context, store platform.Feed, table string, wait time.Duration, log *slog.Logger, changed func(tableUpdate)) {
 	dep := newDependency("store-"+table, log)
 	var version uint64
 	known := false
@@ -118,7 +130,8 @@
 	}
 }
 
-func snapshot(ctx context.Context, store platform.Feed, table string, changed func([]platform.Change, bool)) (uint64, error) {
+func snapshot(ctx context.Context, store platform.Feed, table string, changed func(tableUpdate)) (uint64, error) {
+	calledAt := boottime.Now()
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, version, err := store.Snapshot(call, table)
@@ -129,20 +142,19 @@
 	for i, r := range rows {
 		changes[i] = platform.Change{Row: r}
 	}
-	changed(changes, true)
+	changed(tableUpdate{rows: changes, all: true, version: version, calledAt: calledAt})
 	return version, nil
 }
 
-func watch(ctx context.Context, store platform.Feed, table string, after uint64, wait time.Duration, changed func([]platform.Change, bool)) (uint64, error) {
+func watch(ctx context.Context, store platform.Feed, table string, after uint64, wait time.Duration, changed func(tableUpdate)) (uint64, error) {
+	calledAt := boottime.Now()
 	call, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	changes, version, err := store.Watch(call, table, after, wait)
 	if err != nil {
 		return after, err
 	}
-	if len(changes) > 0 {
-		changed(changes, false)
-	}
+	changed(tableUpdate{rows: changes, version: version, calledAt: calledAt})
 	return version, nil
 }
 
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -228,7 +228,7 @@
 	f := &slowFeed{}
 	f.down.Store(true)
 	var log logBuffer
-	go follow(ctx, f, hostsTable, time.Minute, slog.New(slog.NewTextHandler(&log, nil)), func([]platform.Change, bool) {})
+	go follow(ctx, f, hostsTable, time.Minute, slog.New(slog.NewTextHandler(&log, nil)), func(tableUpdate) {})
 	eventually(t, "the loss is not noticed", func() bool { return log.contains("dependency lost") })
 	f.down.Store(false)
 	eventually(t, "the return is not noticed", func() bool { return log.contains("dependency regained") })
@@ -485,7 +485,7 @@
 	a.dials["127.0.0.1:1"] = d
 	a.mu.Unlock()
 	row := platform.Change{Row: platform.Row{Key: "hosts/e1", Value: []byte(`{"address":"127.0.0.1:1","data_centre":"dc","incarnation":"2"}`), Version: 2}}
-	a.hostsChanged([]platform.Change{row}, false)
+	a.hostsChanged(tableUpdate{rows: []platform.Change{row}})
 	if !aborted {
 		t.Error("the attempt in progress was not ended")
 	}
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/damasklb/damasklb/internal/platform"
+	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/transport"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -41,7 +41,11 @@
 // close. Tasks that the entry has sent before the notice arrive within it.
 const releaseDelay = time.Second
 
-func (a *Agent) hostsChanged(rows []platform.Change, all bool) {
+func (a *Agent) hostsChanged(u tableUpdate) {
+	rows, all := u.rows, u.all
+	if len(rows) == 0 && !all {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	seen := map[string]bool{}
@@ -253,6 +257,9 @@
 		l.lastAnswer = now
 		switch m := m.(type) {
 		case *wire.EntryBeat:
+			if m.Evacuations != nil {
+				core.Evacuations(now, evacuation.FromView(min(now, time.Duration(m.EchoMS)*time.Millisecond), m.Evacuations))
+			}
 			core.Confirm(id, time.Duration(m.EchoMS)*time.Millisecond)
 			if m.ReportNow {
 				a.sendHeartbeat(now, id, l, core.Load(now, id))
--- a/internal/leased/metrics.go
+++ b/internal/leased/metrics.go
@@ -14,12 +14,32 @@
 	// abandonedLinks counts the links that were closed before their first heartbeat.
 	abandonedLinks = metrics.NewCounter("damasklb_hosted_links_abandoned_total")
 
+	// The tasks that prefer a rack: those that the entry has held for it and for how long,
+	// those placed there or elsewhere, and those that have waited for it in vain.
+	rackHeld      = metrics.NewCounter("damasklb_rack_tasks_held_total")
+	rackHoldTime  = metrics.NewHistogram("damasklb_rack_hold_seconds")
+	rackNear      = metrics.NewCounter("damasklb_rack_tasks_near_total")
+	rackFar       = metrics.NewCounter("damasklb_rack_tasks_far_total")
+	rackRegretted = metrics.NewCounter("damasklb_rack_tasks_regretted_total")
+
 	// upstreamCrashes counts the upstreams that have ended without a notice, crashedRuns
 	// the runs that they had.
 	upstreamCrashes = metrics.NewCounter("damasklb_hosted_upstream_crashes_total")
 	crashedRuns     = metrics.NewCounter("damasklb_hosted_runs_crashed_total")
+
+	// preemptedLost is the core time that was thrown away by stops for more urgent work,
+	// preemptionStopTime the time from the stop to the end of the run.
+	preemptedLost      = metrics.NewFloatCounter("damasklb_hosted_preempted_core_seconds_total")
+	preemptionStopTime = metrics.NewHistogram("damasklb_hosted_preemption_stop_seconds")
 )
 
+// queryLockTime is how long questions of operators have held the entry's lock.
+var queryLockTime = metrics.NewHistogram("damasklb_hosted_query_lock_seconds")
+
+func queryCounter(page, result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`damasklb_hosted_queries_total{page="` + page + `",result="` + result + `"}`)
+}
+
 func outcomeCounter(outcome string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`damasklb_hosted_answers_total{outcome="` + outcome + `"}`)
 }
--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/broker"
+	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -31,13 +32,17 @@
 	// openingStarts holds functions that close the connections of start commands
 	// which are not open yet.
 	openingStarts map[wire.LeasedAttempt]func()
+	storePath     storePath
 }
 
 func (a *agent) restart() {
 	a.incarnation++
 	a.startedAt = a.w.now
 	a.paused, a.pendingInputs, a.backlog = false, nil, nil
-	a.core = runner.New(runner.DefaultSettings(resendAfter, maxLease))
+	settings := runner.DefaultSettings(resendAfter, maxLease)
+	settings.DataCentre, settings.EvacuateWithin = a.w.dataCentre(a.index), a.w.evacuations.agentBound()
+	settings.Preemption = a.w.preempt.settings
+	a.core = runner.New(settings)
 	a.core.SetToken(uint64(a.w.now / time.Millisecond))
 	a.links = map[runner.EntryID]*conn{}
 	for _, closeConn := range a.openingStarts {
@@ -108,6 +113,8 @@
 		})
 	}
 	switch m := effect.(type) {
+	case runner.Decision:
+		a.w.waits.started(a.w, m)
 	case runner.StartRun:
 		a.sendCommand(m.Attempt, func() { a.startNow(m, token, back) },
 			func() { a.upstream().start(m, token) },
@@ -127,6 +134,12 @@
 			ok := a.upstream().stop(m, token)
 			back(func() { a.do(func(r *runner.Runner) { r.Stopped(a.now(), m.Attempt, ok) }) })
 		}, func() { a.upstream().stop(m, token) }, func() {})
+	case runner.Preempted:
+		a.w.preempt.stopped(a, m)
+	case runner.PreemptedEnded:
+		a.w.preempt.ended(a, m)
+	case runner.QueryEvacuations:
+		a.w.evacuations.answerAgent(a)
 	case runner.UpstreamCrashed:
 		a.storeCrash(m)
 		a.sendHeartbeats(true)
@@ -137,7 +150,8 @@
 		if m.State.Final() {
 			delete(a.w.committed, committedKey{a.index, m.Attempt})
 		}
-		if c := a.links[m.Entry]; c != nil && c.answered {
+		m, send := a.w.preempt.altered(m)
+		if c := a.links[m.Entry]; c != nil && c.answered && send {
 			c.sendToEntry(&wire.RunReport{Attempt: m.Attempt, State: m.State, Reason: m.Reason,
 				RanMS: uint32(m.RunTime / time.Millisecond), Load: a.core.Load(a.now(), m.Entry)})
 		}
@@ -219,7 +233,7 @@
 	}
 	a.seq++
 	a.do(func(r *runner.Runner) {
-		announcement := runner.Announcement{UpstreamID: u.id(), Service: "s", CPU: u.capacity, MemMB: 1000, Seq: a.seq}
+		announcement := runner.Announcement{UpstreamID: u.id(), Service: "s", CPU: u.capacity, MemMB: 1000, Seq: a.seq, Labels: a.w.racks.labels(a.index)}
 		if r.Announce(a.now(), announcement) {
 			r.HeartbeatClock(a.now(), u.clock())
 			a.store(announcement)
@@ -329,12 +343,15 @@
 			r.Connected(a.now(), id)
 			a.sendHeartbeat(r, id, c)
 		case *wire.EntryBeat:
+			if m.Evacuations != nil {
+				r.Evacuations(a.now(), evacuation.FromView(min(a.now(), time.Duration(m.EchoMS)*time.Millisecond), m.Evacuations))
+			}
 			r.Confirm(id, time.Duration(m.EchoMS)*time.Millisecond)
 			if m.ReportNow {
 				a.sendHeartbeat(r, id, c)
 			}
 		case *wire.Assign:
-			r.Assign(a.now(), id, *m)
+			r.Assign(a.now(), id, a.w.preempt.alteredAssign(*m))
 			if a.w.now-c.lastHeartbeat >= r.HeartbeatInterval(id) {
 				a.sendHeartbeat(r, id, c)
 			}
--- a/internal/leasetest/entries_test.go
+++ b/internal/leasetest/entries_test.go
@@ -12,13 +12,14 @@
 // entry drives a broker as its I/O layer does.
 type entry struct {
 	process
-	w        *world
-	index    int
-	core     *broker.Broker
-	links    map[broker.AgentID]*conn
-	waiting  map[broker.Waiter]*clientJob
-	next     broker.Waiter
-	tickedAt time.Duration
+	w         *world
+	index     int
+	core      *broker.Broker
+	links     map[broker.AgentID]*conn
+	waiting   map[broker.Waiter]*clientJob
+	next      broker.Waiter
+	tickedAt  time.Duration
+	storePath storePath
 }
 
 func (e *entry) restart() {
@@ -27,7 +28,11 @@
 	e.paused, e.process.pendingInputs, e.backlog = false, nil, nil
 	r := runner.DefaultSettings(resendAfter, maxLease)
 	ended := r.ConfirmationTimeout + r.StopAnswerTimeout + r.Lease*102/100 + stopGrace
-	e.core = broker.New(broker.DefaultSettings("dc", ended), rand.NewSource(e.w.rng.Int63()))
+	settings := broker.DefaultSettings("dc", ended)
+	settings.EvacuateWithin = e.w.evacuations.entryBound()
+	settings.Preemption = e.w.preempt.settings
+	e.w.racks.configure(&settings)
+	e.core = broker.New(settings, rand.NewSource(e.w.rng.Int63()))
 	e.links = map[broker.AgentID]*conn{}
 	e.waiting = map[broker.Waiter]*clientJob{}
 	e.tickedAt = 0
@@ -68,13 +73,18 @@
 		case broker.Send:
 			if c := e.links[m.Agent]; c != nil {
 				if assign, ok := m.Message.(*wire.Assign); ok {
+					e.w.evacuations.checkAssign(e, c.a)
 					e.w.committed[committedKey{c.a.index, assign.Attempt}] = assign.CPU
 				}
 				c.sendToAgent(m.Message)
 			}
+		case broker.QueryEvacuations:
+			e.w.evacuations.answerEntry(e)
 		case broker.Answer:
 			e.w.answer(e, m)
 		case broker.Decision:
+			e.w.waits.assigned(e.w, m)
+			e.w.racks.count(m)
 			e.w.logf("entry %d: %s job %s task %d run %d at %s: %s %s", e.index, m.Action, m.Job, m.Index, m.Run, m.Agent, m.Reason, m.Queue)
 		}
 	}
@@ -112,7 +122,7 @@
 
 // open handles the first heartbeat on a link.
 func (e *entry) open(c *conn, id broker.AgentID, m wire.AgentBeat) {
-	link := broker.Link{Agent: id, DataCentre: "dc", HelloSentAt: c.helloAt, HelloReceivedAt: c.helloAt, ClockMS: m.ClockMS}
+	link := broker.Link{Agent: id, DataCentre: e.w.dataCentre(c.a.index), HelloSentAt: c.helloAt, HelloReceivedAt: c.helloAt, ClockMS: m.ClockMS}
 	e.do(func(b *broker.Broker) {
 		if b.Connected(e.now(), link) {
 			e.links[id] = c
--- a/internal/leasetest/random_test.go
+++ b/internal/leasetest/random_test.go
@@ -106,6 +106,7 @@
 					runTime: w.between(10*time.Millisecond, 900*time.Millisecond), failureRate: 0.02})
 			}
 			w.addCrash(j)
+			w.addPriority(j)
 			w.jobs[j.id] = j
 			w.submit(j, w.entries[w.rng.Intn(len(w.entries))])
 			if w.rng.Intn(10) == 0 {
@@ -158,6 +159,7 @@
 	{956987346276, "a start command reached the next incarnation of an upstream under the same ID, and its run was given up with those of the earlier incarnation: two runs at a time"},
 	{624744298130, "a start command for one incarnation of an upstream was carried out by the next, whose clock had started anew: above its capacity"},
 	{1001756, "a new incarnation's clock is behind, so a start command for the earlier one got the longest lease, and its run was given up as lapsed before the end of that lease: two runs at a time"},
+	{320087637957, "a list request for the clock of the earlier incarnation of an upstream got the longest lease from the next, which counts for its later runs too: two runs at a time"},
 	{1097872734584, "the end of a run was lost between two incarnations of an upstream, and its job was refused as not run"},
 }
 
--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -133,6 +133,7 @@
 	delete(u.runs, id)
 	u.highestEnded[id.Task] = max(u.highestEnded[id.Task], id.Run)
 	u.endCount++
+	u.w.preempt.runEnded(id, kind)
 	u.ended = append(u.ended, runner.EndedRun{Number: u.endCount, Attempt: id, Kind: kind, Text: text})
 	u.w.runEnded(u.host, id)
 }
@@ -162,7 +163,7 @@
 	}
 	u.renew(m.LeaseEndMS)
 	spec := u.w.specOf(m.Attempt.Task)
-	r := &run{cpu: spec.cpu, endAt: u.w.now + time.Duration(u.slow*float64(spec.runTime)), endKind: spec.endKind(u.w.rng)}
+	r := &run{cpu: spec.cpu, endAt: u.w.now + time.Duration(u.slow*u.w.racks.start(u.host, u.w.jobs[m.Attempt.Task.Job], spec)*float64(spec.runTime)), endKind: spec.endKind(u.w.rng)}
 	if spec.crashAfter > 0 {
 		r.crashAt = u.w.now + time.Duration(u.slow*float64(spec.crashAfter))
 	}
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -75,6 +75,13 @@
 	// downUpstreams is the number of upstreams that have crashed and are not back,
 	// mostDown the most at a time.
 	downUpstreams, mostDown int
+	// evacuations is the operators' part of the store, nil if there are no evacuations.
+	evacuations *evacuationStore
+	// waits compares predicted with actual waits; nil if nobody asks for it.
+	waits   *waitLog
+	preempt preemptions
+	// racks describes the racks, nil if there are none.
+	racks *rackWorld
 }
 
 // A task that crashes its upstreams must not be started maxStartsAfterCrashes times once
@@ -99,6 +106,8 @@
 	// crashAfter is the run time after which the task crashes its upstream; 0 means
 	// never.
 	crashAfter time.Duration
+	// rack is the rack on which the task runs fastest.
+	rack string
 }
 
 func (s taskSpec) endKind(rng *rand.Rand) runner.EndKind {
@@ -191,6 +200,7 @@
 		for _, a := range w.agents {
 			a.requestList()
 		}
+		w.evacuations.step()
 		if w.now%tickInterval == 0 {
 			for _, e := range w.entries {
 				e.tick()
@@ -206,6 +216,7 @@
 
 func (w *world) runStarted(host int, id wire.LeasedAttempt) {
 	w.starts++
+	w.evacuations.checkStart(host, id)
 	j := w.jobs[id.Task.Job]
 	j.started = true
 	w.logf("host %d runs %v", host, id)
@@ -245,7 +256,7 @@
 		if estimate == 0 {
 			estimate = s.runTime
 		}
-		sub.Tasks = append(sub.Tasks, broker.TaskSpec{CPU: s.cpu, MemMB: 1, Estimate: estimate})
+		sub.Tasks = append(sub.Tasks, broker.TaskSpec{CPU: s.cpu, MemMB: 1, Estimate: estimate, PreferredRack: s.rack})
 	}
 	e.next++
 	j.waiter = e.next
@@ -293,6 +304,7 @@
 			}
 		})
 	case broker.Failed:
+		w.checkFailed(j, m.Outcome.Reason)
 		j.answered = true
 	case broker.Unknown:
 		j.entry = nil
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -65,6 +65,13 @@
 	// missingLists counts the consecutive lists that lack a confirmed run.
 	missingLists int
 	endedAt      time.Duration
+	// charged is the core time that was charged to the budget when it was preempted.
+	charged time.Duration
+}
+
+type endedAttempt struct {
+	attempt *attempt
+	at      time.Duration
 }
 
 // occupies reports whether the attempt occupies capacity of the upstream.
@@ -110,7 +117,7 @@
 		r.finish(now, a, wire.RunNotStarted, "trial-limit", 0)
 		return
 	}
-	if m.OnlyIfFits && !(r.fits(a) && r.queue.goesFirst(a) && !(r.health.suspect && r.Running() > 0)) {
+	if m.OnlyIfFits && !(r.fits(now, a) && r.queue.goesFirst(a) && !(r.health.suspect && r.Running() > 0)) {
 		r.finish(now, a, wire.RunNotStarted, "no-room", 0)
 		return
 	}
@@ -139,6 +146,8 @@
 		return "agent-leaving"
 	case r.upstream.Draining:
 		return "draining"
+	case r.evacuated():
+		return reasonEvacuated
 	case !r.mayStart(now):
 		return "not-ready"
 	case r.upstream.Service != m.Service:
@@ -227,13 +236,19 @@
 	if !r.mayStart(now) {
 		return
 	}
-	for len(r.queue) > 0 && r.fits(r.queue[0]) && !(r.health.suspect && r.Running() > 0) {
+	for len(r.queue) > 0 && r.fits(now, r.queue[0]) && !(r.health.suspect && r.Running() > 0) {
 		r.start(now, r.queue[0])
 	}
+	r.preemptForWaiting(now)
 }
 
-func (r *Runner) fits(a *attempt) bool {
-	return r.usedCPU+a.assign.CPU <= r.upstream.CPU && r.usedMem+a.assign.MemMB <= r.upstream.MemMB
+// fits reports whether an attempt may start beside what runs. A cold upstream takes one at
+// least.
+func (r *Runner) fits(now time.Duration, a *attempt) bool {
+	if r.usedCPU+a.assign.CPU > r.upstream.CPU || r.usedMem+a.assign.MemMB > r.upstream.MemMB {
+		return false
+	}
+	return r.usedCPU == 0 || r.usedCPU+a.assign.CPU <= r.usableCPU(now)
 }
 
 func (r *Runner) start(now time.Duration, a *attempt) {
@@ -248,6 +263,8 @@
 	r.lease.renewedAt = now
 	r.usedCPU += a.assign.CPU
 	r.usedMem += a.assign.MemMB
+	r.startRates.add(now, a.assign.Priority, a.assign.CPU)
+	invariant.Check(!r.evacuated(), "runner_nothing_starts_in_evacuated_data_centre", "data_centre", r.settings.DataCentre)
 	invariant.Check(r.usedCPU <= r.upstream.CPU && r.usedMem <= r.upstream.MemMB, "runner_within_capacity",
 		"cpu", r.usedCPU, "capacity", r.upstream.CPU)
 	r.emit(StartRun{Upstream: r.upstream.UpstreamID, Attempt: a.id, Spec: a.assign.Spec, LeaseEndMS: r.lease.leaseEndMS(now, r.settings.Lease)})
@@ -360,6 +377,7 @@
 	a.reason = reason
 	a.runTime = ran
 	a.endedAt = now
+	r.preemptedEnded(now, a)
 	if r.liveByTask[a.id.Task] == a {
 		delete(r.liveByTask, a.id.Task)
 	}
--- /dev/null
+++ b/internal/runner/evacuation_test.go
@@ -0,0 +1,138 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/evacuation"
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+const evacuateWithin = 5 * time.Second
+
+func newEvacuable(t *testing.T) *Runner {
+	t.Helper()
+	r := newReady(t)
+	r.settings.DataCentre, r.settings.EvacuateWithin = "dc", evacuateWithin
+	return r
+}
+
+func evacuate(r *Runner, now time.Duration, version uint64, dataCentres ...string) {
+	u := evacuation.Update{All: true, Version: version, AsOf: now}
+	for _, dc := range dataCentres {
+		u.Changes = append(u.Changes, evacuation.Change{DataCentre: dc, Version: version})
+	}
+	r.Evacuations(now, u)
+}
+
+// Guards against starts in a data centre that is being emptied: of tasks that wait, of those
+// that arrive, and of those that entries without the news send; runs go on.
+func TestNothingStartsInEvacuatedDataCentre(t *testing.T) {
+	r := newEvacuable(t)
+	for _, job := range []string{"runs", "runs2", "waits"} {
+		assign(r, begin, entryA, job, nil)
+	}
+	r.TakeEffects()
+	evacuate(r, begin, 3, "dc")
+	got := r.TakeEffects()
+	for _, e := range got {
+		if s, ok := e.(StopRun); ok {
+			t.Errorf("run %v is stopped", s.Attempt)
+		}
+	}
+	if l := r.Load(begin, entryA); l.Ready || !l.Evacuated {
+		t.Errorf("load ready %v evacuated %v, want only evacuated", l.Ready, l.Evacuated)
+	}
+	assign(r, begin, entryA, "arrives", nil)
+	if m := lastReport(t, r); m.State != wire.RunNotStarted || m.Reason != reasonEvacuated {
+		t.Errorf("task that arrives: %v %s", m.State, m.Reason)
+	}
+	if w := r.attempts[attemptOf("waits", 1)]; w.state != wire.RunNotStarted || w.reason != reasonEvacuated {
+		t.Errorf("task that waits: %v %s", w.state, w.reason)
+	}
+	r.ListReceived(begin+time.Millisecond, RunList{RequestedAt: begin, ClockMS: 501, StartMS: incarnation.StartMS,
+		Ended: []EndedRun{{Number: 1, Attempt: attemptOf("runs", 1), Kind: EndDone}}})
+	if n := len(effects[StartRun](r)); n != 0 {
+		t.Errorf("%d starts after an end, want none", n)
+	}
+}
+
+// Guards against a data centre that stays empty after it was taken back, and against an old
+// message that empties it again.
+func TestTakenBackDataCentreGetsTasksAtOnce(t *testing.T) {
+	r := newEvacuable(t)
+	evacuate(r, begin, 3, "dc")
+	r.TakeEffects()
+	evacuate(r, begin, 4)
+	if ready := effects[ReadyChanged](r); len(ready) == 0 || !ready[len(ready)-1].Ready {
+		t.Errorf("entries are not told at once: %+v", ready)
+	}
+	evacuate(r, begin, 3, "dc")
+	assign(r, begin, entryA, "j", nil)
+	if n := len(effects[StartRun](r)); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+// Guards against requests for other data centres, and requests on deployments that have
+// none, that keep tasks from starting.
+func TestOtherEvacuationsDoNotMatter(t *testing.T) {
+	r := newEvacuable(t)
+	evacuate(r, begin, 3, "other")
+	assign(r, begin, entryA, "j", nil)
+	if n := len(effects[StartRun](r)); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+	r = newReady(t)
+	evacuate(r, begin, 3, "")
+	assign(r, begin, entryA, "j", nil)
+	if n := len(effects[StartRun](r)); n != 1 {
+		t.Errorf("%d starts without the feature, want 1", n)
+	}
+}
+
+// Guards against an agent that starts tasks on knowledge so old that a data centre should be
+// empty by now: with entries that are all cut off from the store, it asks the store itself
+// within the time that an evacuation has, and goes on asking while there is no answer.
+func TestAgentWithOldKnowledgeAsksTheStore(t *testing.T) {
+	r := newEvacuable(t)
+	evacuate(r, begin, 3)
+	asked := 0
+	var first time.Duration
+	for now := begin; now < begin+2*evacuateWithin; now += 20 * time.Millisecond {
+		r.Announce(now, Announcement{UpstreamID: incarnation, Service: "s", CPU: 10_000, MemMB: 1000, Seq: uint64(now)})
+		r.Tick(now)
+		if n := len(effects[QueryEvacuations](r)); n > 0 {
+			asked += n
+			if first == 0 {
+				first = now - begin
+			}
+		}
+	}
+	if first == 0 || first > evacuateWithin-500*time.Millisecond {
+		t.Errorf("asks first after %v, want well before %v", first, evacuateWithin)
+	}
+	if asked < 3 || asked > 8 {
+		t.Errorf("asks %d times in %v without an answer", asked, 2*evacuateWithin)
+	}
+	// While nobody answers, the service goes on.
+	if l := r.Load(begin+2*evacuateWithin, entryA); !l.Ready {
+		t.Error("the upstream is not ready")
+	}
+	evacuate(r, begin+2*evacuateWithin, 4, "dc")
+	if l := r.Load(begin+2*evacuateWithin, entryA); l.Ready {
+		t.Error("the answer does not take effect")
+	}
+}
+
+// Guards against an agent that asks the store although its entries tell it enough.
+func TestAgentWithRecentKnowledgeAsksNothing(t *testing.T) {
+	r := newEvacuable(t)
+	for now := begin; now < begin+2*evacuateWithin; now += time.Second {
+		evacuate(r, now, 3)
+		r.Tick(now)
+		if n := len(effects[QueryEvacuations](r)); n > 0 {
+			t.Fatalf("asks after %v", now-begin)
+		}
+	}
+}
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -25,9 +25,20 @@
 	// overdueFactor is the multiple of its expected run time from which a run counts
 	// before it has ended.
 	overdueFactor = 2.5
-	// minHealthyRatio and maxHealthyRatio bound the slowness that is attributed to
-	// random variation or to another type of host, and reported as healthySlowness.
+	// minHealthyRatio and maxHealthyRatio bound the deviation of recent run times from the
+	// upstream's speed that is attributed to random variation.
 	minHealthyRatio, maxHealthyRatio = 0.65, 1.5
+	// speedDecay is the factor on the weight of earlier runs in the upstream's speed when a
+	// run ends. With it about the last 200 runs count, so that chance moves the speed by a few
+	// percent only. speedPrior is the weight, in runs, of the assumption that the upstream is
+	// as fast as expected.
+	speedDecay = 0.995
+	speedPrior = 8
+	// runLogSpread is the standard deviation of the logarithm of run time over expected run
+	// time, and speedSignificance the multiple of its standard error from which the speed
+	// counts.
+	runLogSpread      = 0.5
+	speedSignificance = 3
 	// healthySlowness is the slowness of a healthy upstream, in hundredths.
 	healthySlowness = 100
 	// stuckFactor and minStuckTime define a run without progress: it has taken
@@ -68,6 +79,9 @@
 	// weight is the decayed number of runs that ended done, logSum the decayed sum
 	// of the logarithms of their run times relative to the expected ones.
 	weight, logSum float64
+	// speedWeight and speedLogSum are the same over a longer time. They show the speed of the
+	// type of host, which does not change.
+	speedWeight, speedLogSum float64
 	// runs and failed are the decayed numbers of runs that ended done or failed.
 	runs, failed float64
 	lastEndAt    time.Duration
@@ -140,11 +154,33 @@
 		return
 	}
 	if h.suspect && a.startSentAt >= h.suspectSince && float64(ran) < maxProbeRatio*float64(a.assign.ExpectedMS)*float64(time.Millisecond) {
-		*h = health{lastEndAt: now}
+		*h = health{lastEndAt: now, speedWeight: h.speedWeight, speedLogSum: h.speedLogSum}
 		return
 	}
 	h.weight += weight
 	h.logSum += weight * logRatio(ran, a.assign.ExpectedMS)
+	h.addSpeed(weight, logRatio(ran, a.assign.ExpectedMS))
+}
+
+// addSpeed adds a run to the upstream's speed. A run counts as no further from the speed so
+// far than a healthy one may be, so that a host that is out of order for a while does not
+// change it much.
+func (h *health) addSpeed(weight, logRatio float64) {
+	mean := h.speedLogSum / (h.speedWeight + speedPrior)
+	logRatio = min(max(logRatio, mean+math.Log(minHealthyRatio)), mean+math.Log(maxHealthyRatio))
+	f := math.Pow(speedDecay, weight)
+	h.speedWeight = h.speedWeight*f + weight
+	h.speedLogSum = h.speedLogSum*f + weight*logRatio
+}
+
+// speed returns the run time of the upstream's type of host relative to the expected one, or
+// 1 while chance may explain the difference.
+func (h *health) speed() float64 {
+	mean := h.speedLogSum / (h.speedWeight + speedPrior)
+	if math.Abs(mean) < speedSignificance*runLogSpread/math.Sqrt(h.speedWeight+speedPrior) {
+		return 1
+	}
+	return math.Exp(mean)
 }
 
 func (h *health) failurePercent(now time.Duration) uint32 {
@@ -171,17 +207,21 @@
 		}
 	}
 	ratio := math.Exp(logSum / (weight + healthPrior))
-	if ratio > minHealthyRatio && ratio < maxHealthyRatio {
-		return healthySlowness
+	speed := r.health.speed()
+	if r.settings.NoSpeed {
+		speed = 1
+	}
+	if ratio > minHealthyRatio*speed && ratio < maxHealthyRatio*speed {
+		ratio = speed
 	}
-	return uint32(100 * ratio)
+	return uint32(math.Round(healthySlowness * ratio))
 }
 
 // countsForHealth reports whether the age of an attempt is evidence about the
 // upstream. A lost start command is no evidence about its speed, unless the upstream
 // does not answer at all.
 func (r *Runner) countsForHealth(now time.Duration, a *attempt) bool {
-	return a.occupies() && (a.confirmedAt > 0 || now-r.lease.lastListAt > unresponsiveAfter)
+	return a.occupies() && !r.cold.at(a.startSentAt) && (a.confirmedAt > 0 || now-r.lease.lastListAt > unresponsiveAfter)
 }
 
 // overdue reports whether a run has taken far longer than expected.
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -210,7 +210,12 @@
 		return
 	}
 	ran := now - a.startSentAt
-	r.health.addRun(now, a, e.Kind, ran)
+	switch {
+	case !r.cold.at(a.startSentAt):
+		r.health.addRun(now, a, e.Kind, ran)
+	case e.Kind == EndDone:
+		r.cold.addRun(ran, a.assign.ExpectedMS)
+	}
 	switch e.Kind {
 	case EndDone:
 		r.finish(now, a, wire.RunDone, a.reason, ran)
@@ -395,7 +400,7 @@
 		return
 	}
 	for _, a := range slices.Clone(r.active) {
-		if a.occupies() && now-r.lease.renewedAt > r.lapseOf(a) {
+		if a.occupies() && now-r.lease.renewedAt > r.lapseOf(a) && !r.earlierRenewalMayHold(now) {
 			r.runLapsed(a)
 			r.finish(now, a, wire.RunStopped, "lease-lapsed", now-a.startSentAt)
 		}
@@ -409,6 +414,13 @@
 	return time.Duration(maxClockRatio*float64(lease)) + lapseMargin
 }
 
+// earlierRenewalMayHold reports whether a list request to the earlier incarnation, with the end of a
+// lease on its clock, may have got the longest lease of the present one. It holds for all runs,
+// those included that were started later.
+func (r *Runner) earlierRenewalMayHold(now time.Duration) bool {
+	return r.lease.ignoreBefore > 0 && now-r.lease.ignoreBefore <= r.settings.CommandTimeout+r.lapse(r.settings.MaxLease)
+}
+
 // lapseOf returns the same for an attempt. Without a list requested after its start,
 // the start and the renewals since may have reached a new incarnation of the upstream,
 // whose clock is behind: they are granted the longest lease.
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -58,6 +58,15 @@
 		(a.assign.Priority == q[0].assign.Priority && a.dueAt < q[0].dueAt)
 }
 
+// cpu returns the cores that waiting attempts take, by priority.
+func (q queue) cpu() [wire.PriorityLevels]int {
+	var out [wire.PriorityLevels]int
+	for _, a := range q {
+		out[wire.PriorityLevel(a.assign.Priority)] += a.assign.CPU
+	}
+	return out
+}
+
 // work returns the waiting work by priority, in milliseconds of an upstream of
 // the given size.
 func (q queue) work(cpu int) [wire.PriorityLevels]uint32 {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -21,7 +21,9 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/invariant"
+	"github.com/damasklb/damasklb/internal/preemption"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -56,6 +58,15 @@
 	// EndedRetention is how long the outcome of an ended attempt is retained for an
 	// entry that reconnects. It is far longer than a reconnection takes.
 	EndedRetention time.Duration
+	// DataCentre is the data centre of the upstream.
+	DataCentre string
+	// EvacuateWithin is the time from an operator's request to empty a data centre after
+	// which no task may start there; 0 means that there are no such requests.
+	EvacuateWithin time.Duration
+	// NoSpeed keeps the agent from reporting the speed of its type of host.
+	NoSpeed bool
+	// Preemption are the limits of stops for more urgent work.
+	Preemption preemption.Settings
 }
 
 // DefaultSettings returns settings for callers that resubmit a job after resend.
@@ -92,6 +103,8 @@
 	CPU, MemMB int
 	Labels     []string
 	Draining   bool
+	// ColdFor is how much longer the upstream stays slow after its start.
+	ColdFor time.Duration
 	// Seq increases with each announcement of an incarnation.
 	Seq uint64
 }
@@ -139,10 +152,22 @@
 
 	usedCPU, usedMem int
 
-	lease   leaseState
-	health  health
-	effects []Effect
-	ended   []endedAttempt
+	lease  leaseState
+	health health
+	cold   coldState
+	// startRates are the rates of recent starts.
+	startRates startRates
+	preempt    preemptState
+	effects    []Effect
+	ended      []endedAttempt
+
+	evacuations evacuation.Tracker
+	// evacuationQueriedAt is when the store was last asked for evacuation requests,
+	// evacuationQueries the number of times since they were last known.
+	evacuationQueriedAt time.Duration
+	evacuationQueries   int
+	// firstTickAt is when the process began to wait for its first news of evacuations.
+	firstTickAt time.Duration
 
 	// lapsed holds the runs whose lease has expired since the last list.
 	lapsed []wire.CrashedRun
@@ -153,11 +178,6 @@
 	crashCount uint64
 }
 
-type endedAttempt struct {
-	attempt *attempt
-	at      time.Duration
-}
-
 // New returns a runner without an upstream.
 func New(settings Settings) *Runner {
 	return &Runner{
@@ -197,6 +217,7 @@
 	}
 	r.upstream = &a
 	r.announced, r.announcedAt = true, now
+	r.cold.announced(now, a.ColdFor)
 	r.restored = restoredState{}
 	if a.Draining {
 		r.dropWaiting(now, "draining")
@@ -258,10 +279,13 @@
 	return r.upstream.CPU, r.upstream.MemMB
 }
 
-// ready reports whether the upstream is in order. The free capacity is unknown
-// before the first list of runs, and while runs of an earlier agent process have not
-// ended.
-func (r *Runner) ready() bool {
+// ready reports whether the upstream may be assigned tasks: it is in order, and its data
+// centre is not being emptied.
+func (r *Runner) ready() bool { return r.inOrder() && !r.evacuated() }
+
+// inOrder reports whether the upstream is in order. The free capacity is unknown before
+// the first list of runs, and while runs of an earlier agent process have not ended.
+func (r *Runner) inOrder() bool {
 	return r.upstream != nil && !r.upstream.Draining && !r.draining && r.lease.listed && len(r.foreign) == 0 && r.announcementValid()
 }
 
@@ -349,6 +373,7 @@
 	r.retryStops(now)
 	r.expireEnded(now)
 	r.expireCrashes(now)
+	r.queryEvacuations(now)
 	r.startWaiting(now)
 	r.checkCapacity()
 }
@@ -380,31 +405,6 @@
 	invariant.Check(r.usedCPU >= 0 && r.usedMem >= 0, "runner_room_not_negative", "cpu", r.usedCPU, "mem", r.usedMem)
 }
 
-// Load returns the upstream's load for an entry.
-func (r *Runner) Load(now time.Duration, id EntryID) wire.Load {
-	l := wire.Load{Ready: r.mayStart(now), LastSeq: r.LastSeq(id)}
-	if r.upstream == nil {
-		return l
-	}
-	u := r.upstream
-	l.Draining = u.Draining || r.draining
-	l.Service, l.Labels = u.Service, u.Labels
-	l.CapacityCPU, l.CapacityMem = u.CPU, u.MemMB
-	l.FreeCPU, l.FreeMem = max(0, u.CPU-r.usedCPU), max(0, u.MemMB-r.usedMem)
-	l.QueuedWork = r.queue.work(u.CPU)
-	l.BusyPercent = r.busyPercent()
-	l.Slowness = r.slowness(now)
-	l.FailurePercent = r.health.failurePercent(now)
-	avoided, probing := r.avoided(now)
-	l.Stuck = avoided
-	l.StartMS = u.StartMS
-	l.Trial = r.strictestTrial(now)
-	if probing {
-		l.FreeCPU = min(l.FreeCPU, probeCapacity)
-	}
-	return l
-}
-
 // LastSeq returns the sequence number of the entry's last Assign.
 func (r *Runner) LastSeq(id EntryID) uint64 {
 	if s := r.entries[id]; s != nil {
@@ -451,19 +451,3 @@
 func (r *Runner) HasTasksOf(id EntryID) bool {
 	return slices.ContainsFunc(r.active, func(a *attempt) bool { return a.entry == id })
 }
-
-// busyPercent returns the share of the cores that runs of each priority use, in
-// percent.
-func (r *Runner) busyPercent() [wire.PriorityLevels]uint8 {
-	var cpu [wire.PriorityLevels]int
-	for _, a := range r.active {
-		if a.occupies() {
-			cpu[wire.PriorityLevel(a.assign.Priority)] += a.assign.CPU
-		}
-	}
-	var out [wire.PriorityLevels]uint8
-	for i, n := range cpu {
-		out[i] = uint8(min(100*n/max(r.upstream.CPU, 1), 100))
-	}
-	return out
-}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -291,6 +291,34 @@
 	}
 }
 
+// Guards against runs of a new incarnation that are given up before their lease has expired:
+// a list request made for the clock of the incarnation before got the longest lease, which
+// counts for all runs.
+func TestRenewalForTheEarlierClockExtendsAllLeases(t *testing.T) {
+	r := newReady(t)
+	restarted := begin + 10*time.Millisecond
+	r.ListReceived(restarted, RunList{RequestedAt: restarted - time.Millisecond, ClockMS: 5, StartMS: incarnation.StartMS + 1})
+	r.Announce(restarted, Announcement{UpstreamID: UpstreamID{ID: incarnation.ID, StartMS: incarnation.StartMS + 1}, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 1})
+	list := func(at time.Duration, running ...wire.LeasedAttempt) {
+		r.ListReceived(at+time.Millisecond, RunList{RequestedAt: at, ClockMS: 8, StartMS: incarnation.StartMS + 1, Running: running})
+	}
+	list(restarted + time.Millisecond)
+	assign(r, restarted+2*time.Millisecond, entryA, "j1", nil)
+	if n := len(effects[StartRun](r)); n != 1 {
+		t.Fatalf("%d starts, want 1", n)
+	}
+	list(restarted+3*time.Millisecond, attemptOf("j1", 1))
+	r.TakeEffects()
+	r.ListFailed(restarted + r.settings.MaxLease + r.settings.CommandTimeout)
+	if reports := effects[Report](r); len(reports) != 0 {
+		t.Fatalf("the run was given up within its lease: %+v", reports)
+	}
+	r.ListFailed(restarted + 1400*time.Millisecond)
+	if got := lastReport(t, r); got.State != wire.RunStopped || got.Reason != "lease-lapsed" {
+		t.Errorf("report %v %q", got.State, got.Reason)
+	}
+}
+
 // Guards against runs that are given up while a new incarnation of the upstream runs
 // them: its clock has started anew, so a start command for the earlier clock gets the
 // longest lease.
