--- a/internal/leasetest/backlog_test.go
+++ b/internal/leasetest/backlog_test.go
@@ -4,15 +4,13 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/damasklb/damasklb/internal/invariant"
 )
 
 // Guards against two runs of a task after an entry's pause in which agents were killed:
 // the links of their earlier processes wait at the entry beside those of the present
 // ones and are handled in any order, while tasks are already assigned.
 func TestEntryResumesWithABacklogOfLinks(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	for seed := range int64(60) {
 		w := newWorld(seed, 2, 4)
 		w.run(300 * time.Millisecond)
--- a/internal/leasetest/capacity_test.go
+++ b/internal/leasetest/capacity_test.go
@@ -3,15 +3,13 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/damasklb/damasklb/internal/invariant"
 )
 
 // Guards against starts above a capacity that has shrunk: tasks run, wait and are on their
 // way meanwhile, agents are killed and paused, and stored announcements are lost or old. No
 // task waits for a capacity that is gone.
 func TestShrinkingCapacityUnderRandomFailures(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	starts := 0
 	for seed := range int64(150) {
 		w, failure := simulateWith(seed, func(w *world) {
--- a/internal/leasetest/contention_test.go
+++ b/internal/leasetest/contention_test.go
@@ -231,6 +231,7 @@
 // Offers a demand whose crest needs the slow upstreams too. Guards against slow upstreams that
 // stay idle while tasks wait for fast ones and jobs are refused: a tenth of the work was.
 func TestSlowUpstreamsServeAtTheCrest(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(2) {
 		d := swingingDemand(seed).heavier(1.45)
 		r := d.play(t)
--- a/internal/leasetest/crash_test.go
+++ b/internal/leasetest/crash_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/broker"
-	"github.com/damasklb/damasklb/internal/invariant"
 )
 
 // crashLoad is a load on ten upstreams in which some jobs hold a task that crashes its
@@ -99,6 +98,7 @@
 // Guards against a task that crashes one upstream after the other: two may crash under
 // it, then its job is answered as failed, and nothing else is.
 func TestCrashingTaskIsGivenUpAfterTwoUpstreams(t *testing.T) {
+	t.Parallel()
 	others := make([]summary, len(jobTypes))
 	for seed := int64(1); seed <= 6; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -126,6 +126,7 @@
 // Offers a load in which a tenth of the short jobs crash upstreams, three or four a second.
 // Guards against all upstreams being down at once: the other queues are served.
 func TestManyCrashingJobsLeaveMostUpstreamsUp(t *testing.T) {
+	t.Parallel()
 	for seed := int64(1); seed <= 3; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := crashLoad{seed: seed, load: 0.4, queue: 0, share: 0.1, d: 10 * time.Second}.play(t)
@@ -147,6 +148,7 @@
 // Crashes racks of upstreams, twice and in quick succession. Guards against jobs that are
 // answered as failed because they ran on upstreams that crashed for reasons of their own.
 func TestUpstreamsThatCrashByThemselvesFailNoJob(t *testing.T) {
+	t.Parallel()
 	for seed := int64(1); seed <= 6; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := crashLoad{seed: seed, load: 0.4, d: 8 * time.Second, prepare: func(w *world) {
@@ -172,7 +174,7 @@
 // links are silent or delayed, upstreams return under their ID, and callers submit copies to
 // other entries. No task is started maxStartsAfterCrashes times after maxCrashes crashes.
 func TestCrashesCountUnderRandomFailures(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	starts, crashes, jobs, givenUp := 0, 0, 0, 0
 	for seed := range int64(randomCrashRuns(t)) {
 		w, failure := simulateWith(seed, crashingWorld(seed))
@@ -204,6 +206,7 @@
 // Guards against a copy that knows nothing of the crashes: the entry is killed after the
 // first one, and the caller submits the job to another.
 func TestCopyOfACrashingJobIsKnownAtOtherEntries(t *testing.T) {
+	t.Parallel()
 	for seed := int64(1); seed <= 8; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newWorld(seed, 3, 10)
@@ -237,7 +240,7 @@
 // Guards against crashes that are forgotten because they were silent and the processes that
 // knew of them were killed: seeds that failed once.
 func TestSilentCrashesCountWhileProcessesAreKilled(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	for _, seed := range []int64{543, 843, 1911, 2759} {
 		if _, failure := simulateWith(seed, crashingWorld(seed)); failure != "" {
 			t.Errorf("seed %d: %s", seed, failure)
--- a/internal/leasetest/evacuation_test.go
+++ b/internal/leasetest/evacuation_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/damasklb/damasklb/internal/broker"
 	"github.com/damasklb/damasklb/internal/evacuation"
-	"github.com/damasklb/damasklb/internal/invariant"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -223,7 +222,7 @@
 // Guards against starts in a data centre that operators are emptying, under kills, pauses,
 // cuts from the store, stale reads, silent and delayed links and late commands.
 func TestEvacuationsUnderRandomFailures(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	changes, served := 0, 0
 	for seed := range int64(evacuationSeeds) {
 		w, failure := simulateWith(seed, func(w *world) { withEvacuations(w, func(*evacuationStore) {}) })
@@ -241,7 +240,7 @@
 
 // Guards against a random simulation that would not notice the loss of a mechanism.
 func TestEvacuationsNeedEachMechanism(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	for name, off := range map[string]func(*evacuationStore){
 		"check of the agent":   func(s *evacuationStore) { s.noAgentCheck = true },
 		"placing by the entry": func(s *evacuationStore) { s.noEntryPlacing = true },
--- a/internal/leasetest/load_test.go
+++ b/internal/leasetest/load_test.go
@@ -189,12 +189,14 @@
 // Offers half of the capacity. Guards against tasks that wait while other upstreams
 // are idle, and against refusals of jobs for which upstreams are free.
 func TestHalfLoadIsServedInTime(t *testing.T) {
+	t.Parallel()
 	halfLoadIsServed(t, 1)
 }
 
 // Like TestHalfLoadIsServedInTime, with moments at which nine tenths of the upstreams
 // are in use and the entries' reports of them are old.
 func TestFittingJobsAreNotRefused(t *testing.T) {
+	t.Parallel()
 	for seed := int64(2); seed <= 8; seed++ {
 		halfLoadIsServed(t, seed)
 	}
@@ -212,6 +214,7 @@
 // Offers a demand peak of twice the capacity. Guards against a queue in which all jobs
 // end late: jobs that end on time have to make up 90% of the capacity.
 func TestDemandPeakIsServedToCapacity(t *testing.T) {
+	t.Parallel()
 	// Single simulations vary by a tenth with the few long jobs that they draw.
 	var share float64
 	const simulations = 24
@@ -232,6 +235,7 @@
 // Offers half of the capacity while one upstream is six times slower. Guards against
 // jobs that end late because their tasks still go to that upstream.
 func TestSlowUpstreamIsAvoided(t *testing.T) {
+	t.Parallel()
 	c := simulateLoad(t, 3, 0.5, 6*time.Second, func(w *world) { w.upstreams[0].slow = 6 })
 	t.Log(c)
 	if float64(c.onTime) < 0.95*float64(c.offered) {
@@ -243,6 +247,7 @@
 // Guards against jobs that wait until their callers' deadlines for runs that never
 // end.
 func TestRunsOnHungUpstreamsAreReassigned(t *testing.T) {
+	t.Parallel()
 	c := simulateLoad(t, 4, 0.5, 6*time.Second, func(w *world) { w.upstreams[0].hung, w.upstreams[1].hung = true, true })
 	t.Log(c)
 	if float64(c.onTime) < 0.9*float64(c.offered) {
@@ -257,6 +262,7 @@
 // long job whose tasks share an upstream: the upstream was taken for stuck, the runs
 // were stopped and started again, and the job ended late.
 func TestLongJobsDoNotMarkUpstreamsStuck(t *testing.T) {
+	t.Parallel()
 	late, offered := 0, 0
 	for seed := range int64(12) {
 		c := simulateLoad(t, 20+seed, 0.3, 12*time.Second, nil)
@@ -273,6 +279,7 @@
 // Guards against agents that are ready but report it only with their next heartbeat:
 // the first of them got all jobs, and most jobs were refused while upstreams were idle.
 func TestJobsAfterARestartAreNotRefused(t *testing.T) {
+	t.Parallel()
 	refused, offered := 0, 0
 	for seed := range int64(8) {
 		var restarted time.Duration
@@ -313,6 +320,7 @@
 // against tasks whose start command was lost and that are restarted only after their
 // job's latency target.
 func TestJobsWithLostCommandsAreServed(t *testing.T) {
+	t.Parallel()
 	onTime, offered := 0, 0
 	for seed := range int64(4) {
 		c := simulateLoad(t, 60+seed, 0.5, 10*time.Second, func(w *world) { w.faults, w.commandFaultRate = true, 0.05 })
--- a/internal/leasetest/preemption_failures_test.go
+++ b/internal/leasetest/preemption_failures_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/damasklb/damasklb/internal/broker"
 	"github.com/damasklb/damasklb/internal/catalog"
-	"github.com/damasklb/damasklb/internal/invariant"
 	"github.com/damasklb/damasklb/internal/preemption"
 	"github.com/damasklb/damasklb/internal/runner"
 )
@@ -48,7 +47,7 @@
 // preempted job that ends late although it had the time to restart. Without preemption the
 // urgent job is late.
 func TestUrgentWorkPreemptsRunsThatHaveJustBegun(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	for seed := range int64(20) {
 		for _, on := range []bool{false, true} {
 			w, urgent, long := playPreemption(seed, on, func(*world, *agent) {})
@@ -83,7 +82,7 @@
 // one attempt) and a job without an answer, if something fails between the stop of a run and
 // the next start of its task.
 func TestFailuresHalfwayThroughAPreemption(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	const soon = 60 * time.Millisecond
 	for name, fault := range map[string]func(*world, *agent){
 		"stop command is carried out late": func(w *world, _ *agent) {
--- a/internal/leasetest/preemption_load_test.go
+++ b/internal/leasetest/preemption_load_test.go
@@ -131,6 +131,7 @@
 // test only guards against more core time that is thrown away than the budget allows, and against
 // stops while preemption is off, in the first seconds of one load.
 func TestPreemptionOnDaysOfHeavyLoad(t *testing.T) {
+	t.Parallel()
 	seeds := int64(1)
 	loads := []float64{1.3}
 	days := map[string]func(int64) demand{"longBurst": func(seed int64) demand {
--- a/internal/leasetest/preemption_test.go
+++ b/internal/leasetest/preemption_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/catalog"
-	"github.com/damasklb/damasklb/internal/invariant"
 	"github.com/damasklb/damasklb/internal/preemption"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -182,7 +181,7 @@
 // late commands and lost answers. DAMASKLB_PREEMPTION_FROM and DAMASKLB_PREEMPTION_TO choose
 // other seeds.
 func TestPreemptionUnderRandomFailures(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	from, to := seedFrom(t, "DAMASKLB_PREEMPTION_FROM", 0), seedFrom(t, "DAMASKLB_PREEMPTION_TO", preemptionSeeds)
 	// 3656 failed once: an upstream was above its capacity, because a renewal for the clock of its
 	// earlier incarnation had got the longest lease, and the runs were given up before its end.
@@ -220,7 +219,7 @@
 
 // Guards against a random simulation that would not notice the loss of a guard.
 func TestPreemptionNeedsEachGuard(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	for name, c := range map[string]struct {
 		off  preemptionGuards
 		want string
--- a/internal/leasetest/racks_faults_test.go
+++ b/internal/leasetest/racks_faults_test.go
@@ -40,6 +40,7 @@
 
 // Guards against tasks that stay held, or are lost, as the upstreams of their rack crash.
 func TestUpstreamsCrashUnderHeldTasks(t *testing.T) {
+	t.Parallel()
 	for _, p := range []rackPolicy{holdLong, adaptive} {
 		r := faultLoad(11, p).play(func(w *world) {
 			for i, u := range w.upstreams {
@@ -55,6 +56,7 @@
 // Guards against held tasks that are lost, or run twice, as the entry that holds them ends. Its
 // callers submit their jobs to another entry.
 func TestEntryEndsWithHeldTasks(t *testing.T) {
+	t.Parallel()
 	for _, p := range []rackPolicy{holdLong, adaptive} {
 		r := faultLoad(12, p).play(func(w *world) {
 			w.after(1500*time.Millisecond, func() {
@@ -74,6 +76,7 @@
 // Guards against decisions on old reports that start a task twice or never: agents of the rack
 // and their links are slow, and commands are lost.
 func TestLateReportsUnderHeldTasks(t *testing.T) {
+	t.Parallel()
 	for _, p := range []rackPolicy{holdLong, adaptive} {
 		l := faultLoad(13, p)
 		l.load = 0.35
@@ -90,6 +93,7 @@
 // all tasks that run elsewhere must go there at once, and jobs must end sooner than without the
 // part, which lets them queue at the rack.
 func TestHotSpotSpreadsAtOnce(t *testing.T) {
+	t.Parallel()
 	l := rackLoad{seed: 1, load: 0.5, farFactor: 2, shares: hotRack, policy: adaptive, duration: 12 * time.Second, stretch: 20}
 	r := l.play(nil)
 	t.Log(r)
@@ -110,6 +114,7 @@
 // alone reaches that as well; the test that fails without the part is
 // TestHotSpotSpreadsAtOnce.
 func TestRacksNearCapacity(t *testing.T) {
+	t.Parallel()
 	load := rackLoad{load: 0.9, farFactor: 3, shares: skewedRacks, duration: 12 * time.Second, stretch: 20}
 	measure := func(p rackPolicy) (mean, p99 float64) {
 		for seed := range int64(2) {
@@ -132,6 +137,7 @@
 // Guards against a queue that waits for its rack at the expense of another: under uneven demand
 // near the capacity, each queue's share of tasks on their rack is similar.
 func TestRackWaitsStayFairBetweenQueues(t *testing.T) {
+	t.Parallel()
 	l := rackLoad{seed: 5, load: 0.9, farFactor: 2, shares: skewedRacks, policy: adaptive, duration: 12 * time.Second, stretch: 20}
 	r := l.play(nil)
 	var worst, best float64 = 1, 0
--- a/internal/leasetest/racks_test.go
+++ b/internal/leasetest/racks_test.go
@@ -330,6 +330,7 @@
 // "all", or to the names of rows, separated by commas. It checks the target: by mean and 99th
 // percentile, as printed, no job takes longer than with the better of the two baselines.
 func TestRackTable(t *testing.T) {
+	t.Parallel()
 	want := os.Getenv("DAMASKLB_RACK_TABLE")
 	if want == "" {
 		t.Skip("a measurement of minutes: set DAMASKLB_RACK_TABLE")
--- a/internal/leasetest/random_test.go
+++ b/internal/leasetest/random_test.go
@@ -12,8 +12,6 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
-
-	"github.com/damasklb/damasklb/internal/invariant"
 )
 
 // injectFault injects one random fault.
@@ -164,7 +162,7 @@
 }
 
 func TestSeedsThatFailedOnce(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	for _, r := range regressions {
 		if _, failure := simulate(r.seed); failure != "" {
 			t.Errorf("seed %d (%s): %s", r.seed, r.fault, failure)
@@ -176,7 +174,7 @@
 // out before the agent's higher token has reached it. The other random simulations leave
 // this case out.
 func TestLateOrdersReachTheNextLife(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	seeds := []int64{666, 705, 1048, 1645, 2102, 2428}
 	for seed := range int64(600) {
 		seeds = append(seeds, seed)
@@ -192,7 +190,7 @@
 // of jobs that have run, and jobs without an answer, under kills, pauses, silent and
 // delayed links, restarted upstreams and late commands.
 func TestInvariantsUnderRandomFailures(t *testing.T) {
-	defer invariant.SetStrict(invariant.SetStrict(true))
+	t.Parallel()
 	parameters := gopter.DefaultTestParameters()
 	parameters.MinSuccessfulTests = 150
 	parameters.SetSeed(1)
--- a/internal/leasetest/waits_test.go
+++ b/internal/leasetest/waits_test.go
@@ -48,6 +48,7 @@
 // Offers a burst of long work above the capacity. Guards against waits that are predicted far
 // too short, on which admission and placement rest: they were a quarter of the actual ones.
 func TestWaitsArePredicted(t *testing.T) {
+	t.Parallel()
 	d := longBurst(1)
 	d.duration = 7 * time.Second
 	l := &waitLog{first: map[wire.LeasedTask]waitRecord{}}
