--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -11,94 +11,13 @@
 	"slices"
 	"time"
 
-	"github.com/damasklb/damasklb/internal/catalog"
 	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/poison"
-	"github.com/damasklb/damasklb/internal/preemption"
 	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// Settings are the broker's limits.
-type Settings struct {
-	DataCentre string
-	// Distance is the assumed one-way latency to another data centre.
-	Distance time.Duration
-	// FarRackFactor is the factor on the run time of a task outside its preferred
-	// rack.
-	FarRackFactor float64
-	// HeartbeatTimeout is the age of an agent's last heartbeat above which the agent
-	// gets no tasks.
-	HeartbeatTimeout time.Duration
-	// ReactionTimeout is the time without a reaction to a sent Assign after which the
-	// agent gets no further tasks. Agents react within a few milliseconds.
-	ReactionTimeout time.Duration
-	// RunsEndedAfter is the time after the last message to an unreachable agent by
-	// which its runs have certainly ended: the agent stops them or their lease
-	// expires.
-	RunsEndedAfter time.Duration
-	// AnswerRetention is how long the answer of a job is retained for a copy of its
-	// request that arrives late.
-	AnswerRetention time.Duration
-	// ResumeDelay is the time without new commands after a pause of the process, in
-	// which the broker learns which callers have left.
-	ResumeDelay time.Duration
-	// EvacuateWithin is the time from an operator's request to empty a data centre after
-	// which no task may start there; 0 means that there are no such requests.
-	EvacuateWithin time.Duration
-	// Preemption are the limits of stops for more urgent work.
-	Preemption preemption.Settings
-	// Locality bounds the wait of tasks for their preferred rack.
-	Locality locality.Settings
-}
-
-// DefaultSettings returns settings that fit agents whose runs end within
-// endedAfter of the entry's last message.
-func DefaultSettings(dataCentre string, endedAfter time.Duration) Settings {
-	return Settings{
-		DataCentre:       dataCentre,
-		Distance:         1500 * time.Microsecond,
-		FarRackFactor:    1.5,
-		HeartbeatTimeout: 420 * time.Millisecond,
-		ReactionTimeout:  60 * time.Millisecond,
-		RunsEndedAfter:   endedAfter,
-		AnswerRetention:  6 * time.Second,
-		ResumeDelay:      30 * time.Millisecond,
-		Locality:         locality.Settings{MaxWait: locality.DefaultMaxWait},
-	}
-}
-
-// TaskSpec holds the requirements of a task.
-type TaskSpec struct {
-	CPU, MemMB int
-	// Estimate is the run time that the caller declares.
-	Estimate time.Duration
-	// RequiredLabel is a label that the upstream must have; empty means any.
-	RequiredLabel string
-	// PreferredRack is the label of the rack on which the task runs fastest.
-	PreferredRack string
-	// MaxPerUpstream is the largest number of the job's tasks on one upstream; 0
-	// means no limit.
-	MaxPerUpstream int
-}
-
-// Submission is a job as a caller submits it.
-type Submission struct {
-	ID    string
-	Queue *catalog.Queue
-	Spec  string
-	Tasks []TaskSpec
-	// Timeout is how long the caller waits for the answer; 0 means no limit.
-	Timeout time.Duration
-}
-
-// Waiter identifies a request that waits for a job's answer.
-type Waiter uint64
-
-// AgentID identifies one process of an agent.
-type AgentID struct{ Host, Incarnation string }
-
 // Broker is the state machine. It is not safe for concurrent use.
 type Broker struct {
 	settings Settings
@@ -202,7 +121,7 @@
 // HasAgent reports whether any agent is present. Reactions do not count: those of all agents
 // may be late because this process was.
 func (b *Broker) HasAgent(now time.Duration) bool {
-	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.present(now, &b.settings) })
+	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.Present(now, &b.settings.Limits) })
 }
 
 // State returns the state of a job for its caller, and whether there is one.
@@ -266,7 +185,7 @@
 	b.suspendedUntil = now + b.settings.ResumeDelay
 	b.verifyEvacuations(now)
 	for _, a := range b.agentList {
-		if b.runsEnded(now, a) {
+		if a.RunsEnded(now, &b.settings.Limits) {
 			a.assumeStarted()
 		}
 	}
@@ -280,5 +199,5 @@
 }
 
 func (b *Broker) send(a *agent, m wire.Message) {
-	b.emit(Send{Agent: a.id, Message: m})
+	b.emit(Send{Agent: a.ID, Message: m})
 }
--- a/internal/broker/evacuation.go
+++ b/internal/broker/evacuation.go
@@ -26,9 +26,6 @@
 // centre that is being emptied.
 const reasonEvacuated = "evacuated"
 
-// QueryEvacuations asks for the evacuation requests in the store.
-type QueryEvacuations struct{}
-
 // Evacuations handles news about evacuation requests.
 func (b *Broker) Evacuations(now time.Duration, u evacuation.Update) {
 	if b.settings.EvacuateWithin == 0 {
@@ -43,9 +40,9 @@
 	}
 	b.updateQuarantine(now)
 	for _, a := range b.agentList {
-		if a.connected && a.heartbeatAt > 0 {
-			a.evacuationsSentAt = 0
-			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.echoMS})
+		if a.Connected && a.HeartbeatAt > 0 {
+			a.EvacuationsSentAt = 0
+			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.EchoMS})
 		}
 	}
 	b.placeUnplaced(now)
@@ -55,10 +52,10 @@
 func (b *Broker) evacuationChanged(now time.Duration, c evacuation.Change) {
 	waiting, running := 0, 0
 	for _, a := range b.agentList {
-		if a.dataCentre != c.DataCentre {
+		if a.DataCentre != c.DataCentre {
 			continue
 		}
-		a.evacuated = !c.Deleted
+		a.Evacuated = !c.Deleted
 		for _, t := range slices.Clone(a.tasks) {
 			switch {
 			case t.started:
@@ -78,11 +75,11 @@
 
 // addEvacuations adds what the entry knows of evacuations to a message, at intervals.
 func (b *Broker) addEvacuations(now time.Duration, a *agent, m *wire.EntryBeat) {
-	if b.settings.EvacuateWithin == 0 || (a.evacuationsSentAt > 0 && now-a.evacuationsSentAt < evacuationsInterval) {
+	if b.settings.EvacuateWithin == 0 || (a.EvacuationsSentAt > 0 && now-a.EvacuationsSentAt < evacuationsInterval) {
 		return
 	}
 	if m.Evacuations = b.evacuations.View(now); m.Evacuations != nil {
-		a.evacuationsSentAt = now
+		a.EvacuationsSentAt = now
 	}
 }
 
@@ -109,10 +106,10 @@
 func (b *Broker) onlyEvacuated(now time.Duration, t *task) bool {
 	found := false
 	for _, a := range b.agentList {
-		if !a.inOrder(now, &b.settings) || !a.serves(t) {
+		if !a.InOrder(now, &b.settings.Limits) || !a.serves(t) {
 			continue
 		}
-		if !a.evacuated && a.view.Load.Ready {
+		if !a.Evacuated && a.View.Load.Ready {
 			return false
 		}
 		found = true
@@ -123,7 +120,7 @@
 // HasEvacuatedAgent reports whether an agent is in order but for the evacuation of its data
 // centre. An entry with such agents only still answers callers: it refuses their jobs.
 func (b *Broker) HasEvacuatedAgent(now time.Duration) bool {
-	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.inOrder(now, &b.settings) })
+	return slices.ContainsFunc(b.agentList, func(a *agent) bool { return a.InOrder(now, &b.settings.Limits) })
 }
 
 // evacuatedRetryAfter is the delay given to callers while all data centres are being
@@ -139,13 +136,13 @@
 	for _, r := range b.evacuations.Requests() {
 		s := status.HostedEvacuation{DataCentre: r.DataCentre, Version: r.Version, SinceMS: (now - r.Since).Milliseconds()}
 		for _, a := range b.agentList {
-			if a.dataCentre != r.DataCentre || !a.connected {
+			if a.DataCentre != r.DataCentre || !a.Connected {
 				continue
 			}
 			s.Agents++
-			if a.view.Load.Ready {
+			if a.View.Load.Ready {
 				if s.Unaware++; len(s.UnawareHosts) < maxUnawareHosts {
-					s.UnawareHosts = append(s.UnawareHosts, a.id.Host)
+					s.UnawareHosts = append(s.UnawareHosts, a.ID.Host)
 				}
 			}
 			for _, t := range a.tasks {
--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -47,7 +47,7 @@
 	copies := make([]agent, len(b.agentList))
 	for i, a := range b.agentList {
 		copies[i] = *a
-		copies[i].view = a.view.Clone()
+		copies[i].View = a.View.Clone()
 		x.agents = append(x.agents, &copies[i])
 	}
 	return x
@@ -131,7 +131,7 @@
 	if t.done || t.started {
 		o := status.TaskOutlook{Index: t.index, State: "done", ExpectedMS: explain.Milliseconds(t.expected)}
 		if t.started {
-			o.State, o.Agent, o.ForMS = "running", t.agent.id.Host, (x.now - t.startedAt).Milliseconds()
+			o.State, o.Agent, o.ForMS = "running", t.agent.ID.Host, (x.now - t.startedAt).Milliseconds()
 		}
 		return o
 	}
@@ -142,7 +142,7 @@
 	}
 	o, p := x.choose(t, rack)
 	if t.agent != nil {
-		o.State, o.Agent, o.ForMS = "waiting", t.agent.id.Host, (x.now - t.assignedAt).Milliseconds()
+		o.State, o.Agent, o.ForMS = "waiting", t.agent.ID.Host, (x.now - t.assignedAt).Milliseconds()
 		return o
 	}
 	o.State = "held"
@@ -189,11 +189,11 @@
 		switch {
 		case !detailed:
 		case excluded != "":
-			found.Exclude(a.id.Host, x.b.excludedBecause(x.now, a, t, excluded))
+			found.Exclude(a.ID.Host, x.b.excludedBecause(x.now, a, t, excluded))
 		default:
-			cpu, mem, _ := a.view.Free(x.Priority)
+			cpu, mem, _ := a.View.Free(x.Priority)
 			found.Add(explain.Candidate{Scored: c, OnRack: a.onRack(t.spec.PreferredRack), Candidate: status.Candidate{
-				Host: a.id.Host, DataCentre: a.dataCentre, FreeCPU: cpu, FreeMem: mem, ReportAgeMS: (x.now - a.reportAt).Milliseconds(),
+				Host: a.ID.Host, DataCentre: a.DataCentre, FreeCPU: cpu, FreeMem: mem, ReportAgeMS: (x.now - a.ReportAt).Milliseconds(),
 			}})
 		}
 	}
@@ -212,7 +212,7 @@
 		found.Finish(&x.Explanation, x.limit, within, spreadJitter)
 	}
 	if best.agent != nil {
-		o.Choice, o.WaitMS, o.ScoreMS = best.agent.id.Host, explain.Milliseconds(best.scored.Wait), explain.Milliseconds(best.scored.Score())
+		o.Choice, o.WaitMS, o.ScoreMS = best.agent.ID.Host, explain.Milliseconds(best.scored.Wait), explain.Milliseconds(best.scored.Score())
 	}
 	p.task, p.agent, p.wait = t, best.agent, best.scored.Wait
 	return o, p
@@ -222,54 +222,24 @@
 func (b *Broker) excludedBecause(now time.Duration, a *agent, t *task, excluded string) string {
 	switch {
 	case excluded == excludedUnusable:
-		return a.state(now, &b.settings)
+		return a.State(now, &b.settings.Limits)
 	case excluded != excludedOther:
 		return excluded
-	case a.view.Load.Service != t.job.sub.Queue.Service:
+	case a.View.Load.Service != t.job.sub.Queue.Service:
 		return "other-service"
-	case t.spec.RequiredLabel != "" && !slices.Contains(a.view.Load.Labels, t.spec.RequiredLabel):
+	case t.spec.RequiredLabel != "" && !slices.Contains(a.View.Load.Labels, t.spec.RequiredLabel):
 		return "label-missing"
 	}
 	return reasonTooLarge
 }
 
-// AgentReady is the state of an agent that may get tasks.
-const AgentReady = "ready"
-
-// state returns AgentReady, or the first condition for which the agent gets no tasks.
-func (a *agent) state(now time.Duration, s *Settings) string {
-	switch l := &a.view.Load; {
-	case a.usable(now, s):
-		return AgentReady
-	case !a.connected:
-		return "not-connected"
-	case now-a.heartbeatAt > s.HeartbeatTimeout:
-		return "no-heartbeat"
-	case l.Draining:
-		return "leaving"
-	case a.evacuated || l.Evacuated:
-		return reasonEvacuated
-	case !l.Ready:
-		return "not-ready"
-	case now < a.avoidUntil:
-		return "has-just-refused"
-	}
-	return "no-reaction"
-}
-
 // AgentStates returns the state of the agents for operators, at most limit, and the number
 // of the others.
 func (b *Broker) AgentStates(now time.Duration, limit int) (out []status.HostedAgent, omitted int) {
 	limit = min(limit, len(b.agentList))
 	for _, a := range b.agentList[:limit] {
-		l := &a.view.Load
-		s := status.HostedAgent{
-			Host: a.id.Host, Incarnation: a.id.Incarnation, DataCentre: a.dataCentre, Service: a.service, Labels: l.Labels,
-			State: a.state(now, &b.settings), CapacityCPU: l.CapacityCPU, CapacityMem: l.CapacityMem, QueuedWorkMS: l.QueuedWork,
-			Slowness: l.Slowness, ColdMS: l.ColdMS, FailurePercent: l.FailurePercent, Stuck: l.Stuck, Quarantined: a.quarantined, Suspects: a.suspects,
-			Tasks: len(a.tasks), ReportAgeMS: (now - a.reportAt).Milliseconds(), HeartbeatAgeMS: (now - a.heartbeatAt).Milliseconds(),
-		}
-		s.FreeCPU, s.FreeMem, _ = a.view.Free(0)
+		s := a.Status(now, &b.settings.Limits)
+		s.Quarantined, s.Suspects, s.Tasks = a.quarantined, a.suspects, len(a.tasks)
 		out = append(out, s)
 	}
 	return out, len(b.agentList) - limit
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -256,10 +256,10 @@
 // Report handles an agent's report about an attempt.
 func (b *Broker) Report(now time.Duration, id AgentID, m wire.RunReport) {
 	a := b.agents[id.Host]
-	if a == nil || a.id != id {
+	if a == nil || a.ID != id {
 		return
 	}
-	a.view.Report(m.Load)
+	a.View.Report(m.Load)
 	defer b.reported(now, a)
 	t := b.taskOf(m.Attempt)
 	if t == nil || t.agent != a {
@@ -320,7 +320,7 @@
 	default:
 		if m.Reason != reasonPreempted {
 			crashes, _ := b.poison.Suspicion(m.Attempt.Task)
-			b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "cut-short", Reason: m.Reason, Crashes: crashes})
+			b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "cut-short", Reason: m.Reason, Crashes: crashes})
 		}
 		if endUnknown[m.Reason] && !withdrawn {
 			b.runLost(now, t)
@@ -335,7 +335,7 @@
 	t.done = true
 	t.runTime = time.Duration(m.RanMS) * time.Millisecond
 	j.openTasks--
-	j.stats.Add(b.runTimeOnRack(t, a), t.spec.Estimate, a.view.Load.Slowness)
+	j.stats.Add(b.runTimeOnRack(t, a), t.spec.Estimate, a.View.Load.Slowness)
 	if j.openTasks == 0 && !j.closing {
 		b.close(now, j, Outcome{Kind: Completed})
 	}
@@ -344,8 +344,8 @@
 func (b *Broker) failed(now time.Duration, t *task, a *agent, m wire.RunReport) {
 	j := t.job
 	t.failures++
-	t.avoidHost = a.id.Host
-	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "task-failed", Reason: m.Reason})
+	t.avoidHost = a.ID.Host
+	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "task-failed", Reason: m.Reason})
 	if t.failures >= j.sub.Queue.MaxAttempts {
 		b.close(now, j, Outcome{Kind: Failed, Reason: "attempts-used"})
 		return
@@ -357,7 +357,7 @@
 func (b *Broker) notStarted(now time.Duration, t *task, a *agent, m wire.RunReport, withdrawn bool) {
 	j := t.job
 	if m.Reason == reasonLive {
-		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "not-started", Reason: m.Reason})
+		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "not-started", Reason: m.Reason})
 		t.liveAt, t.liveRetryAt = a, now+liveRetry
 		b.placeAgain(now, t)
 		return
@@ -377,13 +377,13 @@
 		b.placeAgain(now, t)
 		return
 	}
-	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "not-started", Reason: m.Reason})
+	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "not-started", Reason: m.Reason})
 	if m.Reason == reasonTooLate && !j.started && !j.closing {
 		b.close(now, j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.retryAfter(j)})
 		return
 	}
 	if agentWideRefusals[m.Reason] || (strings.HasPrefix(m.Reason, upstreamRefusalPrefix) && m.Reason != upstreamRefusalPrefix+"old") {
-		a.avoidUntil = now + avoidAfterRefusal
+		a.AvoidUntil = now + avoidAfterRefusal
 	}
 	b.placeAgain(now, t)
 }
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -17,7 +17,7 @@
 // over. Reports of their rack decide them anyway.
 const maxRedecisions = 16
 
-func (a *agent) onRack(rack string) bool { return slices.Contains(a.view.Load.Labels, rack) }
+func (a *agent) onRack(rack string) bool { return slices.Contains(a.View.Load.Labels, rack) }
 
 // option is an agent on which a task could run; its agent is nil if there is none.
 type option struct {
@@ -140,7 +140,7 @@
 	}
 	t.rack.EndAt = 0
 	if t.started {
-		for _, label := range t.agent.view.Load.Labels {
+		for _, label := range t.agent.View.Load.Labels {
 			b.racks.Released(now, locality.Key{Service: t.rack.Key.Service, Rack: label}, t.spec.CPU)
 		}
 	}
@@ -152,14 +152,14 @@
 	if t.rack == nil {
 		return t.runTime
 	}
-	ratio := float64(t.runTime) / max(float64(t.expected)*a.view.Slowdown(), 1)
+	ratio := float64(t.runTime) / max(float64(t.expected)*a.View.Slowdown(), 1)
 	return time.Duration(float64(t.runTime) / b.racks.Succeeded(t.rack, ratio))
 }
 
 // rackReported decides the tasks again that are held for the rack of an agent with a new
 // report, the most urgent first and then in the order of their arrival.
 func (b *Broker) rackReported(now time.Duration, a *agent) {
-	if len(b.racks.Keys()) == 0 || !a.usable(now, &b.settings) {
+	if len(b.racks.Keys()) == 0 || !a.Usable(now, &b.settings.Limits) {
 		return
 	}
 	defer b.moveToFreeRackmate(now, a)
@@ -173,7 +173,7 @@
 		return cmp.Compare(x.job.sub.Queue.Priority, y.job.sub.Queue.Priority)
 	})
 	for _, t := range waiting {
-		if t.unplaced && !t.job.closing && a.view.Wait(t.demand()) == 0 {
+		if t.unplaced && !t.job.closing && a.View.Wait(t.demand()) == 0 {
 			b.place(now, t)
 		}
 	}
@@ -187,8 +187,8 @@
 // new report, as many as it has free capacity for. They are placed again, and wait together for
 // all agents of the rack in this way.
 func (b *Broker) moveToFreeRackmate(now time.Duration, a *agent) {
-	free, _, _ := a.view.Free(0)
-	if free <= 0 || a.view.Load.Stuck {
+	free, _, _ := a.View.Free(0)
+	if free <= 0 || a.View.Load.Stuck {
 		return
 	}
 	for _, o := range b.agentList {
@@ -197,7 +197,7 @@
 				now-t.assignedAt < minQueued || !a.onRack(t.rack.Key.Rack) {
 				continue
 			}
-			if t.spec.CPU > free || a.view.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
+			if t.spec.CPU > free || a.View.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
 				continue
 			}
 			free -= t.spec.CPU
@@ -212,11 +212,11 @@
 	for _, key := range b.racks.Keys() {
 		var r locality.RackReport
 		for _, a := range b.agentList {
-			if a.service != key.Service || !a.usable(now, &b.settings) {
+			if a.Service != key.Service || !a.Usable(now, &b.settings.Limits) {
 				continue
 			}
-			free, _, _ := a.view.Free(0)
-			r.Add(a.onRack(key.Rack), a.view.Load.CapacityCPU, free)
+			free, _, _ := a.View.Free(0)
+			r.Add(a.onRack(key.Rack), a.View.Load.CapacityCPU, free)
 		}
 		b.racks.Observe(now, key, r)
 	}
@@ -237,7 +237,7 @@
 func (b *Broker) moveRacked(now time.Duration, a *agent, t *task) {
 	r := b.rackOptions(now, t)
 	here := b.candidate(a, t).Score()
-	usable := a.usable(now, &b.settings)
+	usable := a.Usable(now, &b.settings.Limits)
 	better := func(o option) bool {
 		return o.agent != nil && o.agent != a && o.scored.Wait == 0 && (!usable || here-o.scored.Score() >= minMoveGain)
 	}
@@ -251,8 +251,8 @@
 
 // withdrawRacked withdraws a waiting task from its agent because another one is free.
 func (b *Broker) withdrawRacked(now time.Duration, t *task, to *agent, reason string) {
-	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: t.agent.id.Host, Action: "withdraw", Reason: reason,
-		Wait: now - t.assignedAt, ReportAge: now - to.heartbeatAt, FreeCPU: to.view.Load.FreeCPU})
+	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: t.agent.ID.Host, Action: "withdraw", Reason: reason,
+		Wait: now - t.assignedAt, ReportAge: now - to.HeartbeatAt, FreeCPU: to.View.Load.FreeCPU})
 	b.racks.WaitEnded(now, t.rack, now-t.assignedAt)
 	b.withdraw(now, t, true)
 }
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -52,13 +52,13 @@
 
 // serves reports whether the agent's upstream may run the task.
 func (a *agent) serves(t *task) bool {
-	if a.view.Load.Service != t.job.sub.Queue.Service {
+	if a.View.Load.Service != t.job.sub.Queue.Service {
 		return false
 	}
-	if t.spec.RequiredLabel != "" && !slices.Contains(a.view.Load.Labels, t.spec.RequiredLabel) {
+	if t.spec.RequiredLabel != "" && !slices.Contains(a.View.Load.Labels, t.spec.RequiredLabel) {
 		return false
 	}
-	return t.spec.CPU <= a.view.Load.CapacityCPU && t.spec.MemMB <= a.view.Load.CapacityMem
+	return t.spec.CPU <= a.View.Load.CapacityCPU && t.spec.MemMB <= a.View.Load.CapacityMem
 }
 
 // atJobLimit reports whether the upstream has as many tasks of the job as may run
@@ -79,21 +79,21 @@
 // candidate returns what speaks for and against the agent's upstream for the task. It draws
 // no random number.
 func (b *Broker) candidate(a *agent, t *task) placement.Candidate {
-	c := placement.Candidate{Wait: a.view.Wait(t.demand()), Run: time.Duration(float64(t.expected) * a.view.Slowdown())}
-	if t.spec.PreferredRack != "" && !slices.Contains(a.view.Load.Labels, t.spec.PreferredRack) {
+	c := placement.Candidate{Wait: a.View.Wait(t.demand()), Run: time.Duration(float64(t.expected) * a.View.Slowdown())}
+	if t.spec.PreferredRack != "" && !slices.Contains(a.View.Load.Labels, t.spec.PreferredRack) {
 		c.Run = time.Duration(float64(c.Run) * t.rack.OffRack(b.settings.FarRackFactor))
 	}
-	if a.dataCentre != b.settings.DataCentre {
+	if a.DataCentre != b.settings.DataCentre {
 		c.Travel = 2 * b.settings.Distance
 	}
-	c.Spread = time.Duration(a.view.Used(t.job.sub.Queue.Priority) * float64(spreadPenalty))
-	if f := a.view.Load.FailurePercent; f > toleratedFailurePercent {
+	c.Spread = time.Duration(a.View.Used(t.job.sub.Queue.Priority) * float64(spreadPenalty))
+	if f := a.View.Load.FailurePercent; f > toleratedFailurePercent {
 		c.Failing = failurePenalty * time.Duration(f) / 100
 	}
-	if t.avoidHost == a.id.Host {
+	if t.avoidHost == a.ID.Host {
 		c.Avoided = avoidPenalty
 	}
-	if a.view.Load.Stuck {
+	if a.View.Load.Stuck {
 		c.Stuck = stuckPenalty
 	}
 	return c
@@ -103,7 +103,7 @@
 // reason why the task cannot be placed there. It changes nothing.
 func (b *Broker) assess(now time.Duration, a *agent, t *task) (c placement.Candidate, excluded string) {
 	switch {
-	case !a.usable(now, &b.settings):
+	case !a.Usable(now, &b.settings.Limits):
 		return c, excludedUnusable
 	case !a.serves(t):
 		return c, excludedOther
@@ -173,10 +173,10 @@
 	}
 	known := false
 	for _, a := range b.agentList {
-		if a.service != t.job.sub.Queue.Service || a.capacityCPU == 0 {
+		if a.Service != t.job.sub.Queue.Service || a.CapacityCPU == 0 {
 			continue
 		}
-		if t.spec.CPU <= a.capacityCPU && t.spec.MemMB <= a.capacityMem {
+		if t.spec.CPU <= a.CapacityCPU && t.spec.MemMB <= a.CapacityMem {
 			return false
 		}
 		known = true
@@ -189,7 +189,7 @@
 	for i := len(placements) - 1; i >= 0; i-- {
 		if a := placements[i].agent; a != nil {
 			placements[i].task.plannedFor = ""
-			a.view.CancelLast()
+			a.View.CancelLast()
 		}
 	}
 }
@@ -200,7 +200,7 @@
 	t.plannedFor = a.key
 	d := t.demand()
 	d.Expected = t.rack.RunTime(t.expected)
-	t.seq = a.view.Reserve(now, d)
+	t.seq = a.View.Reserve(now, d)
 }
 
 // demand returns what the task takes of an upstream's capacity.
@@ -246,7 +246,7 @@
 	case b.agents[a.key] != a:
 		b.releaseTask(t)
 		b.close(now, t.job, Outcome{Kind: Unknown, Reason: "live-elsewhere"})
-	case now < t.liveRetryAt || !a.usable(now, &b.settings):
+	case now < t.liveRetryAt || !a.Usable(now, &b.settings.Limits):
 		b.retainTask(now, t)
 	default:
 		b.releaseTask(t)
@@ -268,11 +268,11 @@
 	t.assignedAt = now
 	t.acceptedToWait = t.acceptedToWait || wait > 0
 	a.tasks = append(a.tasks, t)
-	a.confirmedAt = now
+	a.ConfirmedAt = now
 	m := &wire.Assign{
 		Attempt: t.attempt(), Service: j.sub.Queue.Service, Spec: j.sub.Spec,
 		CPU: t.spec.CPU, MemMB: t.spec.MemMB, Priority: j.sub.Queue.Priority,
-		ExpectedMS: uint32(t.rack.RunTime(t.expected) / time.Millisecond), EchoMS: a.echoMS, Seq: t.seq,
+		ExpectedMS: uint32(t.rack.RunTime(t.expected) / time.Millisecond), EchoMS: a.EchoMS, Seq: t.seq,
 		Queue:   j.sub.Queue.Name,
 		SlackMS: int((j.arrived + j.slack() - now) / time.Millisecond),
 	}
@@ -285,8 +285,8 @@
 		m.StartWithinMS = uint32(max(j.arrived+j.startLimit()-now, time.Millisecond) / time.Millisecond)
 	}
 	b.send(a, m)
-	d := Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "assign",
-		Wait: wait, ReportAge: now - a.heartbeatAt, FreeCPU: a.view.Load.FreeCPU}
+	d := Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "assign",
+		Wait: wait, ReportAge: now - a.HeartbeatAt, FreeCPU: a.View.Load.FreeCPU}
 	d.Reason, d.Rack = b.racks.Assigned(now, t.rack)
 	b.emit(d)
 }
@@ -313,11 +313,11 @@
 	if best == nil || best == a || chosen.Wait > 0 {
 		return
 	}
-	if here := b.candidate(a, t); here.Score()-chosen.Score() < minMoveGain && a.usable(now, &b.settings) {
+	if here := b.candidate(a, t); here.Score()-chosen.Score() < minMoveGain && a.Usable(now, &b.settings.Limits) {
 		return
 	}
-	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "withdraw", Reason: "moved",
-		Wait: now - t.assignedAt, ReportAge: now - best.heartbeatAt, FreeCPU: best.view.Load.FreeCPU})
+	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "withdraw", Reason: "moved",
+		Wait: now - t.assignedAt, ReportAge: now - best.HeartbeatAt, FreeCPU: best.View.Load.FreeCPU})
 	b.withdraw(now, t, true)
 }
 
@@ -325,15 +325,15 @@
 // elsewhere.
 func (b *Broker) reassignStuck(now time.Duration) {
 	for _, a := range b.agentList {
-		if !a.view.Load.Stuck {
+		if !a.View.Load.Stuck {
 			continue
 		}
 		for _, t := range a.tasks {
 			if !t.started || t.withdrawn || now-t.startedAt < t.reassignAfter(now) || t.job.closing {
 				continue
 			}
-			b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "withdraw", Reason: "stuck",
-				Wait: now - t.startedAt, ReportAge: now - a.heartbeatAt})
+			b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "withdraw", Reason: "stuck",
+				Wait: now - t.startedAt, ReportAge: now - a.HeartbeatAt})
 			b.withdraw(now, t, false)
 		}
 	}
@@ -348,7 +348,7 @@
 		switch {
 		case other.done && (ended == 0 || other.runTime < ended):
 			ended = other.runTime
-		case other.started && !other.agent.view.Load.Stuck:
+		case other.started && !other.agent.View.Load.Stuck:
 			running = max(running, now-other.startedAt)
 		}
 	}
--- a/internal/broker/preempt.go
+++ b/internal/broker/preempt.go
@@ -41,7 +41,7 @@
 	j := t.job
 	j.started, j.cutShort = true, true
 	if m.Reason == reasonPreempted {
-		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.id.Host, Action: "preempted",
+		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "preempted",
 			Reason: m.State.String(), Wait: j.arrived + j.slack() - now})
 	}
 }
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/quarantine"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -12,18 +13,8 @@
 // suspects: they run again apart from each other, so that the next crash tells which one it
 // was, and a poison job ends as failed.
 const (
-	// trialPenalty is added for an upstream with a suspect of another job, and for a
-	// suspect for an upstream outside the quarantine.
-	trialPenalty = 20 * time.Millisecond
-	// trialFactor and trialMargin give the run time after which a run is no suspect: it
-	// has outlived the age at which its upstream crashed.
-	trialFactor = 2
-	trialMargin = 50 * time.Millisecond
 	// trialPatience is how long a suspect may wait for an upstream that may run it.
 	trialPatience = 300 * time.Millisecond
-	// maxApartOffers is the number of agents that may refuse a suspect because they have
-	// another, before it may run beside one.
-	maxApartOffers = 2
 	// maxLostRuns is the number of runs of a task whose end is unknown after which its
 	// job is given up.
 	maxLostRuns = 3
@@ -78,9 +69,9 @@
 // than the one to which the earlier process had assigned tasks. That process may have ended
 // before it could report the crash.
 func (b *Broker) restartedUnder(now time.Duration, earlier *agent) {
-	present := b.agents[earlier.id.Host]
-	before := earlier.view.Load.StartMS
-	if present == nil || before == 0 || present.view.Load.StartMS == 0 || present.view.Load.StartMS == before || earlier.view.Load.Draining {
+	present := b.agents[earlier.ID.Host]
+	before := earlier.View.Load.StartMS
+	if present == nil || before == 0 || present.View.Load.StartMS == 0 || present.View.Load.StartMS == before || earlier.View.Load.Draining {
 		return
 	}
 	c := wire.UpstreamCrash{StartMS: before}
@@ -89,7 +80,7 @@
 			c.Runs = append(c.Runs, wire.CrashedRun{Attempt: t.attempt(), Queue: t.job.sub.Queue.Name})
 		}
 	}
-	b.CrashReported(now, earlier.id.Host, c)
+	b.CrashReported(now, earlier.ID.Host, c)
 }
 
 // giveUpSuspect gives a job up that has crashed an upstream, most likely: its queue is
@@ -122,21 +113,15 @@
 	}
 }
 
-// trial returns how the task has to run if upstreams have crashed under it. The suspects of
-// a first crash are many, and all but one innocent: they are only spread, unless other jobs
-// of their queue are poison.
+// suspect returns the task as the rules for suspects see it.
+func (t *task) suspect() quarantine.Task {
+	return quarantine.Task{ID: t.attempt().Task, Queue: t.job.sub.Queue.Name, Expected: t.expected, Refusals: t.trialRefusals}
+}
+
+// trial returns how the task has to run if upstreams have crashed under it.
 func (b *Broker) trial(now time.Duration, t *task) (wire.Trial, time.Duration) {
-	crashes, age := b.poison.Suspicion(wire.LeasedTask{Job: t.job.sub.ID, Index: uint16(t.index)})
-	switch {
-	case crashes == 0:
-		return wire.TrialNone, 0
-	case crashes > 1 || b.poison.Caution(now, t.job.sub.Queue.Name) != poison.Unrestricted:
-		return wire.TrialAlone, trialFactor*max(age, t.expected) + trialMargin
-	}
-	if t.trialRefusals < maxApartOffers {
-		return wire.TrialApart, trialFactor*max(age, t.expected) + trialMargin
-	}
-	return wire.TrialBesideOthers, trialFactor*max(age, t.expected) + trialMargin
+	s := t.suspect()
+	return s.Trial(now, b.poison)
 }
 
 // reasonTrialLimit is the agent's reason for refusing a suspect because of another one.
@@ -145,26 +130,13 @@
 // mayTry reports whether the task may be assigned to the agent as far as crashes are
 // concerned, and the penalty for it.
 func (b *Broker) mayTry(now time.Duration, a *agent, t *task) (bool, time.Duration) {
-	var penalty time.Duration
 	trial, _ := b.trial(now, t)
-	if trial == wire.TrialAlone && b.poison.Pending(wire.LeasedTask{Job: t.job.sub.ID, Index: uint16(t.index)}) {
-		return false, 0
-	}
-	if b.poison.AnyCaution(now) {
-		switch caution := b.poison.Caution(now, t.job.sub.Queue.Name); {
-		case !a.quarantined && (caution == poison.Quarantined || (caution == poison.Separated && trial != wire.TrialNone)):
-			return false, 0
-		case (caution == poison.Unrestricted) == a.quarantined:
-			penalty += separationPenalty
-		}
-	}
-	if trial != wire.TrialNone && !a.quarantined {
-		penalty += trialPenalty
+	s := t.suspect()
+	allowed, penalty := s.MayRun(now, b.poison, trial, a.quarantined)
+	if !allowed || (a.View.Load.Trial == wire.TrialNone && a.suspects == 0) {
+		return allowed, penalty
 	}
-	if a.view.Load.Trial == wire.TrialNone && a.suspects == 0 {
-		return true, penalty
-	}
-	other := a.view.Load.Trial
+	other := a.View.Load.Trial
 	for _, o := range a.tasks {
 		switch trial := o.trialAt(now); {
 		case o.job != t.job:
@@ -174,10 +146,8 @@
 			return true, penalty
 		}
 	}
-	if trial != wire.TrialNone && max(trial, other) == wire.TrialAlone {
-		return false, 0
-	}
-	return true, penalty + trialPenalty
+	beside, more := quarantine.MayRunBeside(trial, other)
+	return beside, penalty + more
 }
 
 // trialAt returns the trial that the task's attempt is in.
--- a/internal/broker/verify.go
+++ b/internal/broker/verify.go
@@ -43,9 +43,9 @@
 			continue
 		}
 		v.queried = append(v.queried, a)
-		if now-a.queriedAt > reportMaxAge || a.queriedAt == 0 {
-			a.queriedAt = now
-			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.echoMS, ReportNow: true})
+		if now-a.QueriedAt > reportMaxAge || a.QueriedAt == 0 {
+			a.QueriedAt = now
+			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.EchoMS, ReportNow: true})
 		}
 	}
 	if len(v.queried) == 0 {
@@ -58,12 +58,12 @@
 // reportOutdated reports whether a refusal of the job must not rest on the agent's last
 // report.
 func (b *Broker) reportOutdated(now time.Duration, a *agent, j *job) bool {
-	return now-a.reportAt > reportMaxAge && a.usable(now, &b.settings) && a.serves(j.tasks[0])
+	return now-a.ReportAt > reportMaxAge && a.Usable(now, &b.settings.Limits) && a.serves(j.tasks[0])
 }
 
 // reported handles a new report of an agent.
 func (b *Broker) reported(now time.Duration, a *agent) {
-	a.reportAt = now
+	a.ReportAt = now
 	b.rackReported(now, a)
 	if len(b.verifying) == 0 {
 		return
--- /dev/null
+++ b/internal/brokerapi/submission.go
@@ -0,0 +1,34 @@
+package brokerapi
+
+import (
+	"time"
+
+	"github.com/damasklb/damasklb/internal/catalog"
+)
+
+// TaskSpec holds the requirements of a task.
+type TaskSpec struct {
+	CPU, MemMB int
+	// Estimate is the run time that the caller declares.
+	Estimate time.Duration
+	// RequiredLabel is a label that the upstream must have; empty means any.
+	RequiredLabel string
+	// PreferredRack is the label of the rack on which the task runs fastest.
+	PreferredRack string
+	// MaxPerUpstream is the largest number of the job's tasks on one upstream; 0
+	// means no limit.
+	MaxPerUpstream int
+}
+
+// Submission is a job as a caller submits it.
+type Submission struct {
+	ID    string
+	Queue *catalog.Queue
+	Spec  string
+	Tasks []TaskSpec
+	// Timeout is how long the caller waits for the answer; 0 means no limit.
+	Timeout time.Duration
+}
+
+// Waiter identifies a request that waits for a job's answer.
+type Waiter uint64
