Move outcomes, reasons, placement penalties and waits for reports out of internal/broker

Change: package outcomes retains the outcomes of ended jobs, package reports the decisions that wait for new reports, package reasons holds the agents' reasons and what follows from them. The penalties of a placement move to package placement, and the reasons why an upstream cannot run a task to package agentlink.

The tests of internal/broker pass.

--- a/internal/agentlink/agentlink.go
+++ b/internal/agentlink/agentlink.go
@@ -3,9 +3,11 @@
 package agentlink
 
 import (
+	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/capacity"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/status"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -121,12 +123,8 @@
 	return now-a.HeartbeatAt > l.RunsEndedAfter && now-a.ConfirmedAt > l.RunsEndedAfter
 }
 
-// Ready is the state of an agent that may get tasks, evacuated that of one in a data centre
-// that is being emptied.
-const (
-	Ready     = "ready"
-	evacuated = "evacuated"
-)
+// Ready is the state of an agent that may get tasks.
+const Ready = "ready"
 
 // State returns Ready, or the first condition for which the agent gets no tasks.
 func (a *Agent) State(now time.Duration, limits *Limits) string {
@@ -140,7 +138,7 @@
 	case l.Draining:
 		return "leaving"
 	case a.Evacuated || l.Evacuated:
-		return evacuated
+		return reasons.Evacuated
 	case !l.Ready:
 		return "not-ready"
 	case now < a.AvoidUntil:
@@ -161,3 +159,18 @@
 	s.FreeCPU, s.FreeMem, _ = a.View.Free(0)
 	return s
 }
+
+// Excludes returns why the upstream cannot run a task of a service with a required label and a
+// size, or "" if it can.
+func (a *Agent) Excludes(service, label string, cpu, memMB int) string {
+	l := &a.View.Load
+	switch {
+	case l.Service != service:
+		return "other-service"
+	case label != "" && !slices.Contains(l.Labels, label):
+		return "label-missing"
+	case cpu > l.CapacityCPU || memMB > l.CapacityMem:
+		return reasons.TooLarge
+	}
+	return ""
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -13,7 +13,9 @@
 
 	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/outcomes"
 	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/reports"
 	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -23,10 +25,9 @@
 	settings Settings
 	random   *rand.Rand
 
-	jobs           map[string]*job
-	answers        map[string]answer
-	answerExpiries []answerExpiry
-	agents         map[string]*agent
+	jobs    map[string]*job
+	answers outcomes.Retained
+	agents  map[string]*agent
 	// agentList holds the agents in the order of their arrival, which makes the
 	// broker deterministic.
 	agentList []*agent
@@ -39,7 +40,7 @@
 	// cautions holds the last logged caution of each queue.
 	cautions map[string]poison.Caution
 	// verifying holds the jobs that wait for new reports before they may be refused.
-	verifying []*verification
+	verifying reports.Waiting[*job, *agent]
 	// nextQuery is the position in agentList at which the next queries begin.
 	nextQuery int
 	// unplaced holds the tasks that wait for an agent that can take them.
@@ -68,23 +69,12 @@
 	effects       []Effect
 }
 
-type answer struct {
-	outcome Outcome
-	lastRun uint64
-}
-
-type answerExpiry struct {
-	id string
-	at time.Duration
-}
-
 // New returns a broker without agents.
 func New(settings Settings, src rand.Source) *Broker {
 	return &Broker{
 		settings: settings,
 		random:   rand.New(src),
 		jobs:     map[string]*job{},
-		answers:  map[string]answer{},
 		agents:   map[string]*agent{},
 		retained: map[string][]*agent{},
 		stats:    map[string]*runtimes.Stats{},
@@ -132,15 +122,8 @@
 		}
 		return StateQueued, true
 	}
-	if a, ok := b.answers[id]; ok {
-		switch a.outcome.Kind {
-		case Completed:
-			return StateCompleted, true
-		case Failed:
-			return StateFailed, true
-		}
-	}
-	return 0, false
+	a, _ := b.answers.Get(id)
+	return a.State()
 }
 
 // QueuedJobs returns the number of a queue's jobs without a started task.
@@ -175,7 +158,7 @@
 		b.lastPresentAt = now
 	}
 	b.placeUnplaced(now)
-	b.expireAnswers(now)
+	b.answers.Expire(now)
 }
 
 // ProcessResumed handles the end of a pause of the process that was longer than a
@@ -191,13 +174,6 @@
 	}
 }
 
-func (b *Broker) expireAnswers(now time.Duration) {
-	for len(b.answerExpiries) > 0 && now >= b.answerExpiries[0].at {
-		delete(b.answers, b.answerExpiries[0].id)
-		b.answerExpiries = b.answerExpiries[1:]
-	}
-}
-
 func (b *Broker) send(a *agent, m wire.Message) {
 	b.emit(Send{Agent: a.ID, Message: m})
 }
--- a/internal/broker/evacuation.go
+++ b/internal/broker/evacuation.go
@@ -22,10 +22,6 @@
 	evacuationQueryTimeout = 60 * time.Millisecond
 )
 
-// reasonEvacuated is the reason, of agents and the broker, for not running a task in a data
-// centre that is being emptied.
-const reasonEvacuated = "evacuated"
-
 // Evacuations handles news about evacuation requests.
 func (b *Broker) Evacuations(now time.Duration, u evacuation.Update) {
 	if b.settings.EvacuateWithin == 0 {
--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -7,6 +7,7 @@
 
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/placement"
 	"github.com/damasklb/damasklb/internal/poison"
 	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/status"
@@ -39,7 +40,7 @@
 	x := &explanation{b: b, now: now, limit: limit, racks: racks}
 	q := j.sub.Queue
 	x.Queue, x.Service, x.Priority = q.Name, q.Service, q.Priority
-	x.SlackMS, x.RandomMS, x.Detailed = explain.Milliseconds(j.slack()), explain.Milliseconds(spreadJitter), detailed
+	x.SlackMS, x.RandomMS, x.Detailed = explain.Milliseconds(j.slack()), explain.Milliseconds(placement.SpreadJitter), detailed
 	if caution := b.poison.Caution(now, q.Name); caution != poison.Unrestricted {
 		x.Caution = caution.String()
 	}
@@ -98,12 +99,12 @@
 func (b *Broker) ExplainJob(now time.Duration, id string, detailed, limit int) (status.Explanation, bool) {
 	j := b.jobs[id]
 	if j == nil {
-		a, ok := b.answers[id]
+		a, ok := b.answers.Get(id)
 		if !ok {
 			return status.Explanation{}, false
 		}
-		return status.Explanation{Job: id, State: a.outcome.Kind.String(), Decision: "none", Reason: a.outcome.Reason,
-			RetryAfterMS: a.outcome.RetryAfter.Milliseconds()}, true
+		return status.Explanation{Job: id, State: a.Outcome.Kind.String(), Decision: "none", Reason: a.Outcome.Reason,
+			RetryAfterMS: a.Outcome.RetryAfter.Milliseconds()}, true
 	}
 	if detailed < 0 {
 		detailed = max(0, slices.IndexFunc(j.tasks, func(t *task) bool { return !t.done && !t.started }))
@@ -209,7 +210,7 @@
 		}
 	}
 	if detailed {
-		found.Finish(&x.Explanation, x.limit, within, spreadJitter)
+		found.Finish(&x.Explanation, x.limit, within, placement.SpreadJitter)
 	}
 	if best.agent != nil {
 		o.Choice, o.WaitMS, o.ScoreMS = best.agent.ID.Host, explain.Milliseconds(best.scored.Wait), explain.Milliseconds(best.scored.Score())
@@ -223,14 +224,10 @@
 	switch {
 	case excluded == excludedUnusable:
 		return a.State(now, &b.settings.Limits)
-	case excluded != excludedOther:
-		return excluded
-	case a.View.Load.Service != t.job.sub.Queue.Service:
-		return "other-service"
-	case t.spec.RequiredLabel != "" && !slices.Contains(a.View.Load.Labels, t.spec.RequiredLabel):
-		return "label-missing"
+	case excluded == excludedOther:
+		return a.excludes(t)
 	}
-	return reasonTooLarge
+	return excluded
 }
 
 // AgentStates returns the state of the agents for operators, at most limit, and the number
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -3,11 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/invariant"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/outcomes"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -112,17 +113,17 @@
 		j.pending = append(j.pending, pendingSubmission{sub: sub, waiter: w})
 		return
 	}
-	if a, ok := b.answers[sub.ID]; ok && (a.outcome.Kind == Completed || a.outcome.Kind == Failed) {
-		b.emit(Answer{Waiter: w, Job: sub.ID, Outcome: a.outcome})
+	earlier, _ := b.answers.Get(sub.ID)
+	if earlier.Final() {
+		b.emit(Answer{Waiter: w, Job: sub.ID, Outcome: earlier.Outcome})
 		return
 	}
 	if b.poison.IsPoison(now, sub.ID) {
 		b.emit(Answer{Waiter: w, Job: sub.ID, Outcome: b.poisonOutcome(sub.ID)})
 		return
 	}
-	earlier := b.answers[sub.ID].lastRun
 	j := newJob(now, sub, b.statsOf(sub.Queue.Name), b.racks)
-	j.waiters, j.earlierLastRun, j.lastRun = []Waiter{w}, earlier, earlier
+	j.waiters, j.earlierLastRun, j.lastRun = []Waiter{w}, earlier.LastRun, earlier.LastRun
 	// Another entry may have run it.
 	j.started = b.poison.HasRun(sub.ID)
 	b.jobs[sub.ID] = j
@@ -246,8 +247,7 @@
 	}
 	invariant.Check(j.answered, "broker_closed_job_answered", "job", j.sub.ID)
 	delete(b.jobs, j.sub.ID)
-	b.answers[j.sub.ID] = answer{outcome: j.outcome, lastRun: j.lastRun}
-	b.answerExpiries = append(b.answerExpiries, answerExpiry{id: j.sub.ID, at: now + b.settings.AnswerRetention})
+	b.answers.Add(j.sub.ID, outcomes.Ended{Outcome: j.outcome, LastRun: j.lastRun}, now+b.settings.AnswerRetention)
 	for _, p := range j.pending {
 		b.Submit(now, p.sub, p.waiter)
 	}
@@ -306,7 +306,7 @@
 	b.rackReleased(now, t)
 	b.detach(t)
 	t.liveAt = nil
-	if m.State != wire.RunNotStarted || mayHaveRun[m.Reason] {
+	if m.State != wire.RunNotStarted || reasons.MayHaveRun(m.Reason) {
 		j.started = true
 	}
 	b.noteCutShort(now, t, a, m)
@@ -322,7 +322,7 @@
 			crashes, _ := b.poison.Suspicion(m.Attempt.Task)
 			b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "cut-short", Reason: m.Reason, Crashes: crashes})
 		}
-		if endUnknown[m.Reason] && !withdrawn {
+		if reasons.EndUnknown(m.Reason) && !withdrawn {
 			b.runLost(now, t)
 		}
 		b.placeAgain(now, t)
@@ -382,48 +382,26 @@
 		b.close(now, j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.retryAfter(j)})
 		return
 	}
-	if agentWideRefusals[m.Reason] || (strings.HasPrefix(m.Reason, upstreamRefusalPrefix) && m.Reason != upstreamRefusalPrefix+"old") {
+	if reasons.AgentWide(m.Reason) {
 		a.AvoidUntil = now + avoidAfterRefusal
 	}
 	b.placeAgain(now, t)
 }
 
-// reasonLive is the agent's reason for not starting a task of which another run is live
-// on its upstream: one that was started for another entry, or that this broker has given
-// up. The task must not start elsewhere before that run has ended.
-const reasonLive = "task-is-live"
-
-// mayHaveRun holds the reasons for not starting an attempt that show that an earlier run
-// of the task has started, or may have.
-var mayHaveRun = map[string]bool{reasonLive: true, upstreamRefusalPrefix + "old": true}
-
-// endUnknown holds the agent's reasons for runs of which it does not know how they ended.
-var endUnknown = map[string]bool{"lease-lapsed": true, "run-vanished": true}
-
 // liveRetry is the time after which an agent that has refused a task as live is asked
 // again.
 const liveRetry = 25 * time.Millisecond
 
-// agentWideRefusals are the agent's reasons that apply to all tasks.
-var agentWideRefusals = map[string]bool{
-	"no-upstream": true, "agent-leaving": true, "draining": true, "departed": true, "not-ready": true,
-	"other-service": true, "upstream-gone": true, "upstream-silent": true, reasonEvacuated: true,
-}
-
-// upstreamRefusalPrefix is the prefix of the reasons of an upstream that has refused
-// a start.
-const upstreamRefusalPrefix = "upstream-"
-
-// reasonNoRoom is the agent's reason for not starting a task that would have had to
-// wait.
-const reasonNoRoom = "no-room"
-
-// reasonTooLarge is the reason, of agents and the broker, for not running a task that exceeds
-// the capacity.
-const reasonTooLarge = "too-large"
-
-// reasonTooLate is the agent's reason for a task whose start deadline has passed.
-const reasonTooLate = "too-late"
+// Reasons of agents on which the broker acts in a particular way.
+const (
+	reasonLive       = reasons.Live
+	reasonNoRoom     = reasons.NoRoom
+	reasonTooLarge   = reasons.TooLarge
+	reasonTooLate    = reasons.TooLate
+	reasonTrialLimit = reasons.TrialLimit
+	reasonEvacuated  = reasons.Evacuated
+	reasonPreempted  = reasons.Preempted
+)
 
 // placeAgain places a task after its attempt has ended, unless its job is closing or
 // the task is done.
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -64,7 +64,7 @@
 		if excluded != "" {
 			continue
 		}
-		c.Random = time.Duration(b.random.Int63n(int64(spreadJitter)))
+		c.Random = time.Duration(b.random.Int63n(int64(placement.SpreadJitter)))
 		r.add(a, c, t, within)
 	}
 	return r
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -16,23 +16,6 @@
 // The wait at an agent is predicted from the agent's last report and from what was sent to
 // it since.
 const (
-	// spreadPenalty is added to the score of a fully used upstream, and a
-	// proportional part for a partly used one. It spreads the tasks of entries that
-	// see the same free upstreams.
-	spreadPenalty = 4 * time.Millisecond
-	// spreadJitter keeps entries from choosing the same upstream at the same time.
-	spreadJitter = time.Millisecond
-	// failurePenalty is added for an upstream on which all runs fail, and a
-	// proportional part for one on which some fail. It exceeds the wait at any
-	// upstream worth waiting for.
-	failurePenalty = 3 * time.Second
-	// avoidPenalty is added for the upstream on which the task failed last.
-	avoidPenalty = 2 * time.Second
-	// toleratedFailurePercent is the percentage of failed runs up to which no
-	// penalty is added.
-	toleratedFailurePercent = 12
-	// stuckPenalty is added for an upstream whose runs make no progress.
-	stuckPenalty = 5 * time.Second
 	// avoidAfterRefusal is the time without new tasks for an agent that has
 	// refused one for a reason other than load.
 	avoidAfterRefusal = 100 * time.Millisecond
@@ -50,17 +33,14 @@
 	minReassignAfter   = 150 * time.Millisecond
 )
 
-// serves reports whether the agent's upstream may run the task.
-func (a *agent) serves(t *task) bool {
-	if a.View.Load.Service != t.job.sub.Queue.Service {
-		return false
-	}
-	if t.spec.RequiredLabel != "" && !slices.Contains(a.View.Load.Labels, t.spec.RequiredLabel) {
-		return false
-	}
-	return t.spec.CPU <= a.View.Load.CapacityCPU && t.spec.MemMB <= a.View.Load.CapacityMem
+// excludes returns why the agent's upstream cannot run the task, or "" if it can.
+func (a *agent) excludes(t *task) string {
+	return a.Excludes(t.job.sub.Queue.Service, t.spec.RequiredLabel, t.spec.CPU, t.spec.MemMB)
 }
 
+// serves reports whether the agent's upstream may run the task.
+func (a *agent) serves(t *task) bool { return a.excludes(t) == "" }
+
 // atJobLimit reports whether the upstream has as many tasks of the job as may run
 // there.
 func (a *agent) atJobLimit(t *task) bool {
@@ -79,24 +59,14 @@
 // candidate returns what speaks for and against the agent's upstream for the task. It draws
 // no random number.
 func (b *Broker) candidate(a *agent, t *task) placement.Candidate {
-	c := placement.Candidate{Wait: a.View.Wait(t.demand()), Run: time.Duration(float64(t.expected) * a.View.Slowdown())}
-	if t.spec.PreferredRack != "" && !slices.Contains(a.View.Load.Labels, t.spec.PreferredRack) {
-		c.Run = time.Duration(float64(c.Run) * t.rack.OffRack(b.settings.FarRackFactor))
+	m := placement.Match{Task: t.demand(), Avoid: t.avoidHost == a.ID.Host}
+	if t.spec.PreferredRack != "" && !a.onRack(t.spec.PreferredRack) {
+		m.RunFactor = t.rack.OffRack(b.settings.FarRackFactor)
 	}
 	if a.DataCentre != b.settings.DataCentre {
-		c.Travel = 2 * b.settings.Distance
-	}
-	c.Spread = time.Duration(a.View.Used(t.job.sub.Queue.Priority) * float64(spreadPenalty))
-	if f := a.View.Load.FailurePercent; f > toleratedFailurePercent {
-		c.Failing = failurePenalty * time.Duration(f) / 100
-	}
-	if t.avoidHost == a.ID.Host {
-		c.Avoided = avoidPenalty
-	}
-	if a.View.Load.Stuck {
-		c.Stuck = stuckPenalty
+		m.Travel = 2 * b.settings.Distance
 	}
-	return c
+	return m.Candidate(&a.View)
 }
 
 // assess returns what speaks for and against the agent's upstream for the task, or the
@@ -127,7 +97,7 @@
 		if excluded != "" {
 			continue
 		}
-		c.Random = time.Duration(b.random.Int63n(int64(spreadJitter)))
+		c.Random = time.Duration(b.random.Int63n(int64(placement.SpreadJitter)))
 		if best == nil || c.Better(chosen, within) {
 			best, chosen = a, c
 		}
--- a/internal/broker/preempt.go
+++ b/internal/broker/preempt.go
@@ -13,9 +13,6 @@
 // of its end, the choice of another upstream and a short wait there.
 const restartTime = 40 * time.Millisecond
 
-// reasonPreempted is the agent's reason for attempts that were stopped for more urgent work.
-const reasonPreempted = "preempted"
-
 // mayYield reports whether the attempt that is being assigned may be stopped for more urgent
 // work: the job can still end on time if this run is stopped at the latest time at which agents
 // do so, and none of its runs was cut short before. An agent that dies does not report which
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -124,9 +124,6 @@
 	return s.Trial(now, b.poison)
 }
 
-// reasonTrialLimit is the agent's reason for refusing a suspect because of another one.
-const reasonTrialLimit = "trial-limit"
-
 // mayTry reports whether the task may be assigned to the agent as far as crashes are
 // concerned, and the penalty for it.
 func (b *Broker) mayTry(now time.Duration, a *agent, t *task) (bool, time.Duration) {
--- a/internal/broker/verify.go
+++ b/internal/broker/verify.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/wire"
@@ -22,36 +21,29 @@
 	maxQueries = 24
 )
 
-// verification is a job that waits for new reports.
-type verification struct {
-	job     *job
-	until   time.Duration
-	queried []*agent
-}
-
 // verify asks agents with old reports for new ones. It returns false if there are none.
 func (b *Broker) verify(now time.Duration, j *job) bool {
-	v := &verification{job: j, until: now + verifyTimeout}
+	var queried []*agent
 	// Starting at another agent each time spreads the queries.
 	for i := range b.agentList {
 		a := b.agentList[(b.nextQuery+i)%len(b.agentList)]
-		if len(v.queried) == maxQueries {
+		if len(queried) == maxQueries {
 			b.nextQuery = (b.nextQuery + i) % len(b.agentList)
 			break
 		}
 		if !b.reportOutdated(now, a, j) {
 			continue
 		}
-		v.queried = append(v.queried, a)
+		queried = append(queried, a)
 		if now-a.QueriedAt > reportMaxAge || a.QueriedAt == 0 {
 			a.QueriedAt = now
 			b.confirm(now, a, &wire.EntryBeat{EchoMS: a.EchoMS, ReportNow: true})
 		}
 	}
-	if len(v.queried) == 0 {
+	if len(queried) == 0 {
 		return false
 	}
-	b.verifying = append(b.verifying, v)
+	b.verifying.Add(j, now+verifyTimeout, queried)
 	return true
 }
 
@@ -65,25 +57,14 @@
 func (b *Broker) reported(now time.Duration, a *agent) {
 	a.ReportAt = now
 	b.rackReported(now, a)
-	if len(b.verifying) == 0 {
-		return
-	}
-	for _, v := range b.verifying {
-		v.queried = slices.DeleteFunc(v.queried, func(o *agent) bool { return o == a })
-	}
+	b.verifying.Reported(a)
 	b.decideVerified(now)
 }
 
 // decideVerified plans the jobs again whose reports are new or overdue, in the order of
 // their arrival.
 func (b *Broker) decideVerified(now time.Duration) {
-	for len(b.verifying) > 0 {
-		i := slices.IndexFunc(b.verifying, func(v *verification) bool { return len(v.queried) == 0 || now >= v.until })
-		if i < 0 {
-			return
-		}
-		j := b.verifying[i].job
-		b.verifying = slices.Delete(b.verifying, i, i+1)
+	for j, ok := b.verifying.Next(now); ok; j, ok = b.verifying.Next(now) {
 		if j.closing {
 			continue
 		}
