Move the sides of a rack, changes of caution and waits for the store out of internal/broker

Change: package locality compares the best agents on a rack and off it, package poison tells which cautions have changed, package evacuation holds how an entry waits for news after a pause and when agents are told, and package agentlink answers whether a task exceeds all upstreams or has only evacuated ones.

--- a/internal/agentlink/agentlink.go
+++ b/internal/agentlink/agentlink.go
@@ -3,7 +3,6 @@
 package agentlink
 
 import (
-	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/capacity"
@@ -159,18 +158,3 @@
 	s.FreeCPU, s.FreeMem, _ = a.View.Free(0)
 	return s
 }
-
-// Excludes returns why the upstream cannot run a task of a service with a required label and a
-// size, or "" if it can.
-func (a *Agent) Excludes(service, label string, cpu, memMB int) string {
-	l := &a.View.Load
-	switch {
-	case l.Service != service:
-		return "other-service"
-	case label != "" && !slices.Contains(l.Labels, label):
-		return "label-missing"
-	case cpu > l.CapacityCPU || memMB > l.CapacityMem:
-		return reasons.TooLarge
-	}
-	return ""
-}
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -21,6 +22,17 @@
 	suspects int
 }
 
+// links returns the links of all agents.
+func (b *Broker) links() iter.Seq[*agentlink.Agent] {
+	return func(yield func(*agentlink.Agent) bool) {
+		for _, a := range b.agentList {
+			if !yield(&a.Agent) {
+				return
+			}
+		}
+	}
+}
+
 // Connected handles a new link from an agent and reports whether it is used. Links
 // that were opened while the entry was paused arrive in any order, so a link is
 // refused unless it is certainly not older than the one that the broker has:
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -37,8 +37,6 @@
 	stats    map[string]*runtimes.Stats
 	// poison holds the crashes of upstreams.
 	poison *poison.Detector
-	// cautions holds the last logged caution of each queue.
-	cautions map[string]poison.Caution
 	// verifying holds the jobs that wait for new reports before they may be refused.
 	verifying reports.Waiting[*job, *agent]
 	// nextQuery is the position in agentList at which the next queries begin.
@@ -51,10 +49,7 @@
 	// racks decides for the tasks that prefer a rack.
 	racks *locality.Racks
 
-	evacuations evacuation.Tracker
-	// resumedAt is when the process last resumed after a pause, evacuationsExpectedUntil
-	// the time until which no command is sent without newer news of evacuations.
-	resumedAt, evacuationsExpectedUntil time.Duration
+	evacuations evacuation.EntryTracker
 
 	draining bool
 	lastTick time.Duration
@@ -79,7 +74,6 @@
 		retained: map[string][]*agent{},
 		stats:    map[string]*runtimes.Stats{},
 		poison:   poison.New(),
-		cautions: map[string]poison.Caution{},
 		racks:    locality.NewRacks(settings.Locality, settings.FarRackFactor),
 	}
 }
--- a/internal/broker/evacuation.go
+++ b/internal/broker/evacuation.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/agentlink"
 	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/status"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -12,15 +13,6 @@
 // An entry places nothing in a data centre that operators are emptying. The free capacity
 // there no longer counts, so admission follows the capacity that is left at once. The entry
 // passes its knowledge on to its agents, which make the last check before a start.
-const (
-	// evacuationsInterval is the time between two messages about evacuations to an agent. It
-	// is a small part of the time within which a data centre has to be empty.
-	evacuationsInterval = time.Second
-	// evacuationQueryTimeout bounds the wait for news of evacuations after a pause of the
-	// process. The store answers within a few milliseconds, unless it is out of reach, and
-	// the jobs that wait meanwhile lose a part of their slack.
-	evacuationQueryTimeout = 60 * time.Millisecond
-)
 
 // Evacuations handles news about evacuation requests.
 func (b *Broker) Evacuations(now time.Duration, u evacuation.Update) {
@@ -71,10 +63,10 @@
 
 // addEvacuations adds what the entry knows of evacuations to a message, at intervals.
 func (b *Broker) addEvacuations(now time.Duration, a *agent, m *wire.EntryBeat) {
-	if b.settings.EvacuateWithin == 0 || (a.EvacuationsSentAt > 0 && now-a.EvacuationsSentAt < evacuationsInterval) {
+	if b.settings.EvacuateWithin == 0 {
 		return
 	}
-	if m.Evacuations = b.evacuations.View(now); m.Evacuations != nil {
+	if m.Evacuations = b.evacuations.Message(now, a.EvacuationsSentAt); m.Evacuations != nil {
 		a.EvacuationsSentAt = now
 	}
 }
@@ -85,32 +77,20 @@
 	if b.settings.EvacuateWithin == 0 {
 		return
 	}
-	b.resumedAt = now
-	b.evacuationsExpectedUntil = now + evacuationQueryTimeout
+	b.evacuations.Resumed(now)
 	b.emit(QueryEvacuations{})
 }
 
 // suspended reports whether no new command may be sent, shortly after a pause of the
 // process.
 func (b *Broker) suspended(now time.Duration) bool {
-	return now < b.suspendedUntil ||
-		(now < b.evacuationsExpectedUntil && now-b.evacuations.Age(now) < b.resumedAt)
+	return now < b.suspendedUntil || b.evacuations.Awaited(now)
 }
 
 // onlyEvacuated reports whether upstreams could run the task, but all are in data centres
 // that are being emptied.
 func (b *Broker) onlyEvacuated(now time.Duration, t *task) bool {
-	found := false
-	for _, a := range b.agentList {
-		if !a.InOrder(now, &b.settings.Limits) || !a.serves(t) {
-			continue
-		}
-		if !a.Evacuated && a.View.Load.Ready {
-			return false
-		}
-		found = true
-	}
-	return found
+	return agentlink.OnlyEvacuated(b.links(), now, &b.settings.Limits, t.need())
 }
 
 // HasEvacuatedAgent reports whether an agent is in order but for the evacuation of its data
--- a/internal/broker/evacuation_test.go
+++ b/internal/broker/evacuation_test.go
@@ -136,7 +136,7 @@
 		if answers {
 			g.evacuate(2, "dc-a")
 		} else {
-			g.now += evacuationQueryTimeout
+			g.now += evacuation.QueryTimeout
 			g.heartbeat("b1", load(10_000))
 			g.b.Tick(g.now)
 		}
--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -182,10 +182,8 @@
 	for _, a := range x.agents {
 		c, excluded := x.b.assess(x.now, a, t)
 		if excluded == "" {
-			sides.add(a, c, t, within)
-			if best.agent == nil || c.Better(best.scored, within) {
-				best = option{agent: a, scored: c}
-			}
+			sides.Prefer(a.onRack(t.spec.PreferredRack), a, c, within)
+			best.Prefer(a, c, within)
 		}
 		switch {
 		case !detailed:
@@ -202,8 +200,8 @@
 	if rack != nil {
 		x.racks.LearnFactor(rack)
 		d := x.racks.Choose(rack, x.b.rackInput(x.now, t, sides), x.b.heldCPU(t))
-		best, p.hold = sides.chosen(d)
-		found.ByRack(best.agent != nil, rack.Near)
+		best, p.hold = sides.Chosen(d)
+		found.ByRack(best.Agent != nil, rack.Near)
 		o.Reason = d.Reason
 		if p.hold {
 			o.Decision = string(explain.Hold)
@@ -212,10 +210,10 @@
 	if detailed {
 		found.Finish(&x.Explanation, x.limit, within, placement.SpreadJitter)
 	}
-	if best.agent != nil {
-		o.Choice, o.WaitMS, o.ScoreMS = best.agent.ID.Host, explain.Milliseconds(best.scored.Wait), explain.Milliseconds(best.scored.Score())
+	if best.Agent != nil {
+		o.Choice, o.WaitMS, o.ScoreMS = best.Agent.ID.Host, explain.Milliseconds(best.Scored.Wait), explain.Milliseconds(best.Scored.Score())
 	}
-	p.task, p.agent, p.wait = t, best.agent, best.scored.Wait
+	p.task, p.agent, p.wait = t, best.Agent, best.Scored.Wait
 	return o, p
 }
 
@@ -225,7 +223,7 @@
 	case excluded == excludedUnusable:
 		return a.State(now, &b.settings.Limits)
 	case excluded == excludedOther:
-		return a.excludes(t)
+		return a.Excludes(t.need())
 	}
 	return excluded
 }
@@ -243,15 +241,7 @@
 }
 
 // CautiousQueues returns the queues whose jobs are kept apart after crashes of upstreams.
-func (b *Broker) CautiousQueues(now time.Duration) map[string]string {
-	out := map[string]string{}
-	for _, queue := range b.poison.Queues() {
-		if c := b.poison.Caution(now, queue); c != poison.Unrestricted {
-			out[queue] = c.String()
-		}
-	}
-	return out
-}
+func (b *Broker) CautiousQueues(now time.Duration) map[string]string { return b.poison.Cautions(now) }
 
 // HeldTasks returns the number of tasks that wait for an agent that can take them.
 func (b *Broker) HeldTasks() int { return len(b.unplaced) }
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -19,41 +19,12 @@
 
 func (a *agent) onRack(rack string) bool { return slices.Contains(a.View.Load.Labels, rack) }
 
-// option is an agent on which a task could run; its agent is nil if there is none.
-type option struct {
-	agent  *agent
-	scored placement.Candidate
-}
-
-// input returns the option as the decision sees it.
-func (o option) input() locality.Option {
-	c := o.scored
-	return locality.Option{Usable: o.agent != nil, Wait: c.Wait, Run: c.Run, Penalty: c.Score() - c.Wait - c.Run}
-}
-
-// rackOptions are the best options on a task's rack and off it.
-type rackOptions struct{ near, far option }
-
-func (r *rackOptions) add(a *agent, c placement.Candidate, t *task, within time.Duration) {
-	o := &r.far
-	if a.onRack(t.spec.PreferredRack) {
-		o = &r.near
-	}
-	if o.agent == nil || c.Better(o.scored, within) {
-		*o = option{agent: a, scored: c}
-	}
-}
-
-// chosen returns the option that a decision stands for, and whether the task is held instead.
-func (r *rackOptions) chosen(d locality.Decision) (o option, hold bool) {
-	switch d.Action {
-	case locality.NearNow, locality.QueueNear:
-		return r.near, false
-	case locality.Far:
-		return r.far, false
-	}
-	return option{}, d.Action == locality.Hold
-}
+// option is an agent on which a task could run, and rackOptions are the best ones on a task's rack
+// and off it.
+type (
+	option      = locality.Choice[*agent]
+	rackOptions = locality.Sides[*agent]
+)
 
 // rackOptions returns the best agents on the task's rack and off it.
 func (b *Broker) rackOptions(now time.Duration, t *task) (r rackOptions) {
@@ -65,14 +36,16 @@
 			continue
 		}
 		c.Random = time.Duration(b.random.Int63n(int64(placement.SpreadJitter)))
-		r.add(a, c, t, within)
+		r.Prefer(a.onRack(t.spec.PreferredRack), a, c, within)
 	}
 	return r
 }
 
 // rackInput returns what the decision about a task depends on, beside what was learned.
 func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
-	return locality.Input{Now: now, Near: r.near.input(), Far: r.far.input(), Left: b.waitLeft(now, t), JobEnd: t.job.endOfOthers(now, t)}
+	in := r.Input()
+	in.Now, in.Left, in.JobEnd = now, b.waitLeft(now, t), t.job.endOfOthers(now, t)
+	return in
 }
 
 // choose returns the agent for a task, or nil. hold is set if the task is to be held for its
@@ -83,8 +56,8 @@
 		return best, chosen, false
 	}
 	r := b.rackOptions(now, t)
-	o, hold := r.chosen(b.racks.Choose(t.rack, b.rackInput(now, t, r), b.heldCPU(t)))
-	return o.agent, o.scored, hold
+	o, hold := r.Chosen(b.racks.Choose(t.rack, b.rackInput(now, t, r), b.heldCPU(t)))
+	return o.Agent, o.Scored, hold
 }
 
 // waitLeft returns how long the task may still wait with its job on time.
@@ -239,13 +212,13 @@
 	here := b.candidate(a, t).Score()
 	usable := a.Usable(now, &b.settings.Limits)
 	better := func(o option) bool {
-		return o.agent != nil && o.agent != a && o.scored.Wait == 0 && (!usable || here-o.scored.Score() >= minMoveGain)
+		return o.Agent != nil && o.Agent != a && o.Scored.Wait == 0 && (!usable || here-o.Scored.Score() >= minMoveGain)
 	}
 	switch {
-	case better(r.near):
-		b.withdrawRacked(now, t, r.near.agent, "moved")
-	case better(r.far) && !(usable && t.rack.Near && now < t.rack.WaitUntil):
-		b.withdrawRacked(now, t, r.far.agent, "moved")
+	case better(r.Near):
+		b.withdrawRacked(now, t, r.Near.Agent, "moved")
+	case better(r.Far) && !(usable && t.rack.Near && now < t.rack.WaitUntil):
+		b.withdrawRacked(now, t, r.Far.Agent, "moved")
 	}
 }
 
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/agentlink"
 	"github.com/damasklb/damasklb/internal/capacity"
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/placement"
@@ -33,13 +34,13 @@
 	minReassignAfter   = 150 * time.Millisecond
 )
 
-// excludes returns why the agent's upstream cannot run the task, or "" if it can.
-func (a *agent) excludes(t *task) string {
-	return a.Excludes(t.job.sub.Queue.Service, t.spec.RequiredLabel, t.spec.CPU, t.spec.MemMB)
+// need returns what the task requires of an upstream.
+func (t *task) need() agentlink.Need {
+	return agentlink.Need{Service: t.job.sub.Queue.Service, Label: t.spec.RequiredLabel, CPU: t.spec.CPU, MemMB: t.spec.MemMB}
 }
 
 // serves reports whether the agent's upstream may run the task.
-func (a *agent) serves(t *task) bool { return a.excludes(t) == "" }
+func (a *agent) serves(t *task) bool { return a.Excludes(t.need()) == "" }
 
 // atJobLimit reports whether the upstream has as many tasks of the job as may run
 // there.
@@ -141,17 +142,7 @@
 	if now < startupGrace || now < b.agentsExpectedUntil {
 		return false
 	}
-	known := false
-	for _, a := range b.agentList {
-		if a.Service != t.job.sub.Queue.Service || a.CapacityCPU == 0 {
-			continue
-		}
-		if t.spec.CPU <= a.CapacityCPU && t.spec.MemMB <= a.CapacityMem {
-			return false
-		}
-		known = true
-	}
-	return known
+	return agentlink.ExceedsAll(b.links(), t.need())
 }
 
 // cancelPlan releases the reserved capacity.
--- a/internal/broker/quarantine.go
+++ b/internal/broker/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/damasklb/damasklb/internal/poison"
 	"github.com/damasklb/damasklb/internal/quarantine"
 )
 
@@ -33,15 +32,7 @@
 
 // logCautions logs the queues whose caution has changed.
 func (b *Broker) logCautions(now time.Duration) {
-	for _, queue := range b.poison.Queues() {
-		caution := b.poison.Caution(now, queue)
-		if caution == b.cautions[queue] {
-			continue
-		}
-		b.cautions[queue] = caution
-		b.emit(Decision{Queue: queue, Action: "caution", Reason: caution.String()})
-		if caution == poison.Unrestricted {
-			delete(b.cautions, queue)
-		}
+	for _, c := range b.poison.CautionChanges(now) {
+		b.emit(Decision{Queue: c.Queue, Action: "caution", Reason: c.Caution.String()})
 	}
 }
--- /dev/null
+++ b/internal/locality/sides.go
@@ -0,0 +1,55 @@
+package locality
+
+import (
+	"time"
+
+	"github.com/damasklb/damasklb/internal/placement"
+)
+
+// Choice is an agent on which a task could run; its agent is the zero value if there is none.
+type Choice[A comparable] struct {
+	Agent  A
+	Scored placement.Candidate
+}
+
+// option returns the choice as the decision sees it.
+func (c Choice[A]) option() Option {
+	var none A
+	s := c.Scored
+	return Option{Usable: c.Agent != none, Wait: s.Wait, Run: s.Run, Penalty: s.Score() - s.Wait - s.Run}
+}
+
+// Prefer takes an agent instead if a task that has to end within the given time is better placed
+// there.
+func (c *Choice[A]) Prefer(a A, s placement.Candidate, within time.Duration) {
+	var none A
+	if c.Agent == none || s.Better(c.Scored, within) {
+		*c = Choice[A]{Agent: a, Scored: s}
+	}
+}
+
+// Sides are the best choices on a task's rack and off it.
+type Sides[A comparable] struct{ Near, Far Choice[A] }
+
+// Prefer takes an agent instead of the present one of its side if the task is better placed there.
+func (s *Sides[A]) Prefer(near bool, a A, c placement.Candidate, within time.Duration) {
+	if near {
+		s.Near.Prefer(a, c, within)
+	} else {
+		s.Far.Prefer(a, c, within)
+	}
+}
+
+// Input returns the input of a decision with the two sides as options.
+func (s *Sides[A]) Input() Input { return Input{Near: s.Near.option(), Far: s.Far.option()} }
+
+// Chosen returns the choice that a decision stands for, and whether the task is held instead.
+func (s *Sides[A]) Chosen(d Decision) (c Choice[A], hold bool) {
+	switch d.Action {
+	case NearNow, QueueNear:
+		return s.Near, false
+	case Far:
+		return s.Far, false
+	}
+	return c, d.Action == Hold
+}
--- a/internal/poison/caution.go
+++ b/internal/poison/caution.go
@@ -115,3 +115,35 @@
 	}
 	return false
 }
+
+// Cautions returns the queues that are cautious, with their level.
+func (d *Detector) Cautions(now time.Duration) map[string]string {
+	out := map[string]string{}
+	for queue := range d.queues {
+		if c := d.Caution(now, queue); c != Unrestricted {
+			out[queue] = c.String()
+		}
+	}
+	return out
+}
+
+// CautionChange is a queue with a new level of caution.
+type CautionChange struct {
+	Queue   string
+	Caution Caution
+}
+
+// CautionChanges returns the queues whose caution has changed since the last call, in order.
+func (d *Detector) CautionChanges(now time.Duration) []CautionChange {
+	var out []CautionChange
+	for _, queue := range d.Queues() {
+		if c := d.Caution(now, queue); c != d.told[queue] {
+			out = append(out, CautionChange{Queue: queue, Caution: c})
+			d.told[queue] = c
+			if c == Unrestricted {
+				delete(d.told, queue)
+			}
+		}
+	}
+	return out
+}
