--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -303,7 +303,7 @@
 	a := t.agent
 	j := t.job
 	withdrawn := t.withdrawn
-	b.rackReleased(now, t)
+	b.racks.Ended(now, t.rack, t.started, a.View.Load.Labels)
 	b.detach(t)
 	t.liveAt = nil
 	if m.State != wire.RunNotStarted || reasons.MayHaveRun(m.Reason) {
@@ -335,7 +335,7 @@
 	t.done = true
 	t.runTime = time.Duration(m.RanMS) * time.Millisecond
 	j.openTasks--
-	j.stats.Add(b.runTimeOnRack(t, a), t.spec.Estimate, a.View.Load.Slowness)
+	j.stats.Add(b.racks.RunTimeOnRack(t.rack, t.runTime, float64(t.expected)*a.View.Slowdown()), t.spec.Estimate, a.View.Load.Slowness)
 	if j.openTasks == 0 && !j.closing {
 		b.close(now, j, Outcome{Kind: Completed})
 	}
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -106,29 +106,6 @@
 	}
 }
 
-// rackReleased counts the capacity of an attempt that has ended, at each rack of its agent.
-func (b *Broker) rackReleased(now time.Duration, t *task) {
-	if t.rack == nil {
-		return
-	}
-	t.rack.EndAt = 0
-	if t.started {
-		for _, label := range t.agent.View.Load.Labels {
-			b.racks.Released(now, locality.Key{Service: t.rack.Key.Service, Rack: label}, t.spec.CPU)
-		}
-	}
-}
-
-// runTimeOnRack learns from a run that has succeeded, and returns the run time that it would
-// have had on its rack.
-func (b *Broker) runTimeOnRack(t *task, a *agent) time.Duration {
-	if t.rack == nil {
-		return t.runTime
-	}
-	ratio := float64(t.runTime) / max(float64(t.expected)*a.View.Slowdown(), 1)
-	return time.Duration(float64(t.runTime) / b.racks.Succeeded(t.rack, ratio))
-}
-
 // rackReported decides the tasks again that are held for the rack of an agent with a new
 // report, the most urgent first and then in the order of their arrival.
 func (b *Broker) rackReported(now time.Duration, a *agent) {
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -9,6 +9,7 @@
 	"github.com/damasklb/damasklb/internal/capacity"
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/placement"
+	"github.com/damasklb/damasklb/internal/stuck"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -25,13 +26,8 @@
 	moveAfter = 25 * time.Millisecond
 	// minMoveGain is the smallest gain for which a waiting task is moved.
 	minMoveGain = 15 * time.Millisecond
-	// reassignFactor is the multiple of its expected run time after which a run on
-	// a stuck upstream is stopped and its task run elsewhere, but not before
-	// minReassignAfter.
-	reassignFactor = 2
 	// tooLargeRetryAfter is the delay given to callers whose job exceeds all upstreams.
 	tooLargeRetryAfter = 2 * time.Second
-	minReassignAfter   = 150 * time.Millisecond
 )
 
 // need returns what the task requires of an upstream.
@@ -300,22 +296,16 @@
 	}
 }
 
-// reassignAfter returns the run time from which a run on a stuck upstream is
-// stopped. The tasks of a job are alike, so the run times of those that have ended,
-// or that still run on other upstreams, predict better than the expected one.
+// reassignAfter returns the run time from which a run on a stuck upstream is stopped.
 func (t *task) reassignAfter(now time.Duration) time.Duration {
-	var ended, running time.Duration
+	var siblings stuck.Siblings
 	for _, other := range t.job.tasks {
 		switch {
-		case other.done && (ended == 0 || other.runTime < ended):
-			ended = other.runTime
+		case other.done:
+			siblings.Ended(other.runTime)
 		case other.started && !other.agent.View.Load.Stuck:
-			running = max(running, now-other.startedAt)
+			siblings.Running(now - other.startedAt)
 		}
 	}
-	reference := ended
-	if reference == 0 {
-		reference = running
-	}
-	return max(minReassignAfter, reassignFactor*t.rack.RunTime(t.expected), reassignFactor*reference)
+	return siblings.ReassignAfter(t.rack.RunTime(t.expected))
 }
--- a/internal/broker/preempt.go
+++ b/internal/broker/preempt.go
@@ -9,10 +9,6 @@
 // An agent may stop a run that has just begun for more urgent work (package preemption). The
 // entry allows it for each attempt, and places the task again.
 
-// restartTime is what the second start of a preempted task takes beside the stop: the report
-// of its end, the choice of another upstream and a short wait there.
-const restartTime = 40 * time.Millisecond
-
 // mayYield reports whether the attempt that is being assigned may be stopped for more urgent
 // work: the job can still end on time if this run is stopped at the latest time at which agents
 // do so, and none of its runs was cut short before. An agent that dies does not report which
@@ -24,8 +20,7 @@
 	if !s.On || j.cutShort || j.sub.Queue.Priority <= 0 || t.trial != wire.TrialNone {
 		return false
 	}
-	latest := time.Duration(s.MaxProgress*float64(t.expected)) + s.MaxStopTime + restartTime
-	return now+wait+latest <= j.arrived+j.slack()
+	return now+wait+s.LatestRestart(t.expected) <= j.arrived+j.slack()
 }
 
 // noteCutShort handles the end of an attempt as far as preemption is concerned. The job of a
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/poison"
@@ -12,13 +11,10 @@
 // Tasks that crash their upstreams. All runs that an upstream had when it crashed are
 // suspects: they run again apart from each other, so that the next crash tells which one it
 // was, and a poison job ends as failed.
-const (
-	// trialPatience is how long a suspect may wait for an upstream that may run it.
-	trialPatience = 300 * time.Millisecond
-	// maxLostRuns is the number of runs of a task whose end is unknown after which its
-	// job is given up.
-	maxLostRuns = 3
-)
+
+// maxLostRuns is the number of runs of a task whose end is unknown after which its job is given
+// up.
+const maxLostRuns = 3
 
 const (
 	reasonCrashes  = "crashes-upstreams"
@@ -83,19 +79,10 @@
 	b.CrashReported(now, earlier.ID.Host, c)
 }
 
-// giveUpSuspect gives a job up that has crashed an upstream, most likely: its queue is
-// quarantined, and no other job of the queue was under the crash, or the job was under two.
-// Another run would take one more of the few upstreams that the queue has. The evidence is
+// giveUpSuspect gives a job up that has crashed an upstream, most likely. The evidence is
 // too weak to call the job failed.
 func (b *Broker) giveUpSuspect(now time.Duration, j *job) bool {
-	if b.poison.Caution(now, j.sub.Queue.Name) != poison.Quarantined {
-		return false
-	}
-	underTwo := slices.ContainsFunc(j.tasks, func(t *task) bool {
-		crashes, _ := b.poison.Suspicion(wire.LeasedTask{Job: j.sub.ID, Index: uint16(t.index)})
-		return crashes > 1
-	})
-	if !underTwo && !b.poison.SoleSuspect(j.sub.ID) {
+	if !quarantine.GiveUpSuspect(now, b.poison, j.sub.Queue.Name, j.sub.ID, len(j.tasks)) {
 		return false
 	}
 	b.emit(Decision{Job: j.sub.ID, Action: "give-up", Reason: reasonSuspect, Crashes: b.poison.Crashes(j.sub.ID)})
@@ -169,16 +156,13 @@
 // suspectWithoutUpstream gives a suspect's job up if no upstream may run it for too long, or
 // the job if its queue has no upstream left. It reports whether it did.
 func (b *Broker) suspectWithoutUpstream(now time.Duration, t *task) bool {
-	caution := b.poison.Caution(now, t.job.sub.Queue.Name)
-	trial, _ := b.trial(now, t)
-	if caution != poison.Quarantined && trial != wire.TrialAlone {
-		return false
-	}
-	if now-t.unplacedAt < trialPatience {
+	s := t.suspect()
+	giveUp, suspect := s.GiveUpWaiting(now, b.poison, now-t.unplacedAt)
+	if !giveUp {
 		return false
 	}
 	reason := reasonQuarantine
-	if trial != wire.TrialNone {
+	if suspect {
 		reason = reasonNoTrial
 	}
 	b.close(now, t.job, Outcome{Kind: Refused, Reason: reason, RetryAfter: b.jitter(quarantineRetryAfter)})
--- a/internal/locality/sides.go
+++ b/internal/locality/sides.go
@@ -53,3 +53,26 @@
 	}
 	return c, d.Action == Hold
 }
+
+// Ended counts the capacity of an attempt that has ended, at each rack that the labels of its
+// upstream name.
+func (r *Racks) Ended(now time.Duration, t *Task, started bool, labels []string) {
+	if t == nil {
+		return
+	}
+	t.EndAt = 0
+	if started {
+		for _, label := range labels {
+			r.Released(now, Key{Service: t.Key.Service, Rack: label}, t.CPU)
+		}
+	}
+}
+
+// RunTimeOnRack learns from a run that has succeeded, and returns the run time that it would have
+// had on its rack. expected is the run time that was expected of its upstream on the rack.
+func (r *Racks) RunTimeOnRack(t *Task, runTime time.Duration, expected float64) time.Duration {
+	if t == nil {
+		return runTime
+	}
+	return time.Duration(float64(runTime) / r.Succeeded(t, float64(runTime)/max(expected, 1)))
+}
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -119,6 +119,16 @@
 	return wait
 }
 
+// restartTime is what the second start of a preempted task takes beside the stop: the report
+// of its end, the choice of another upstream and a short wait there.
+const restartTime = 40 * time.Millisecond
+
+// LatestRestart returns the longest time from the start of a run until its task starts again, if
+// the run is stopped.
+func (s *Settings) LatestRestart(expected time.Duration) time.Duration {
+	return time.Duration(s.MaxProgress*float64(expected)) + s.MaxStopTime + restartTime
+}
+
 // yields reports whether the run may be stopped for work of the given priority.
 func (r *Run) yields(now time.Duration, priority int, s *Settings) bool {
 	return r.MayYield && r.Priority > priority &&
