--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -7,6 +7,7 @@
 
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/placement"
 	"github.com/damasklb/damasklb/internal/poison"
 	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/status"
@@ -39,7 +40,7 @@
 	x := &explanation{b: b, now: now, limit: limit, racks: racks}
 	q := j.sub.Queue
 	x.Queue, x.Service, x.Priority = q.Name, q.Service, q.Priority
-	x.SlackMS, x.RandomMS, x.Detailed = explain.Milliseconds(j.slack()), explain.Milliseconds(spreadJitter), detailed
+	x.SlackMS, x.RandomMS, x.Detailed = explain.Milliseconds(j.slack()), explain.Milliseconds(placement.SpreadJitter), detailed
 	if caution := b.poison.Caution(now, q.Name); caution != poison.Unrestricted {
 		x.Caution = caution.String()
 	}
@@ -47,7 +48,7 @@
 	copies := make([]agent, len(b.agentList))
 	for i, a := range b.agentList {
 		copies[i] = *a
-		copies[i].view = a.view.Clone()
+		copies[i].View = a.View.Clone()
 		x.agents = append(x.agents, &copies[i])
 	}
 	return x
@@ -98,12 +99,12 @@
 func (b *Broker) ExplainJob(now time.Duration, id string, detailed, limit int) (status.Explanation, bool) {
 	j := b.jobs[id]
 	if j == nil {
-		a, ok := b.answers[id]
+		a, ok := b.answers.Get(id)
 		if !ok {
 			return status.Explanation{}, false
 		}
-		return status.Explanation{Job: id, State: a.outcome.Kind.String(), Decision: "none", Reason: a.outcome.Reason,
-			RetryAfterMS: a.outcome.RetryAfter.Milliseconds()}, true
+		return status.Explanation{Job: id, State: a.Outcome.Kind.String(), Decision: "none", Reason: a.Outcome.Reason,
+			RetryAfterMS: a.Outcome.RetryAfter.Milliseconds()}, true
 	}
 	if detailed < 0 {
 		detailed = max(0, slices.IndexFunc(j.tasks, func(t *task) bool { return !t.done && !t.started }))
@@ -131,7 +132,7 @@
 	if t.done || t.started {
 		o := status.TaskOutlook{Index: t.index, State: "done", ExpectedMS: explain.Milliseconds(t.expected)}
 		if t.started {
-			o.State, o.Agent, o.ForMS = "running", t.agent.id.Host, (x.now - t.startedAt).Milliseconds()
+			o.State, o.Agent, o.ForMS = "running", t.agent.ID.Host, (x.now - t.startedAt).Milliseconds()
 		}
 		return o
 	}
@@ -142,7 +143,7 @@
 	}
 	o, p := x.choose(t, rack)
 	if t.agent != nil {
-		o.State, o.Agent, o.ForMS = "waiting", t.agent.id.Host, (x.now - t.assignedAt).Milliseconds()
+		o.State, o.Agent, o.ForMS = "waiting", t.agent.ID.Host, (x.now - t.assignedAt).Milliseconds()
 		return o
 	}
 	o.State = "held"
@@ -181,19 +182,17 @@
 	for _, a := range x.agents {
 		c, excluded := x.b.assess(x.now, a, t)
 		if excluded == "" {
-			sides.add(a, c, t, within)
-			if best.agent == nil || c.Better(best.scored, within) {
-				best = option{agent: a, scored: c}
-			}
+			sides.Prefer(a.onRack(t.spec.PreferredRack), a, c, within)
+			best.Prefer(a, c, within)
 		}
 		switch {
 		case !detailed:
 		case excluded != "":
-			found.Exclude(a.id.Host, x.b.excludedBecause(x.now, a, t, excluded))
+			found.Exclude(a.ID.Host, x.b.excludedBecause(x.now, a, t, excluded))
 		default:
-			cpu, mem, _ := a.view.Free(x.Priority)
+			cpu, mem, _ := a.View.Free(x.Priority)
 			found.Add(explain.Candidate{Scored: c, OnRack: a.onRack(t.spec.PreferredRack), Candidate: status.Candidate{
-				Host: a.id.Host, DataCentre: a.dataCentre, FreeCPU: cpu, FreeMem: mem, ReportAgeMS: (x.now - a.reportAt).Milliseconds(),
+				Host: a.ID.Host, DataCentre: a.DataCentre, FreeCPU: cpu, FreeMem: mem, ReportAgeMS: (x.now - a.ReportAt).Milliseconds(),
 			}})
 		}
 	}
@@ -201,20 +200,20 @@
 	if rack != nil {
 		x.racks.LearnFactor(rack)
 		d := x.racks.Choose(rack, x.b.rackInput(x.now, t, sides), x.b.heldCPU(t))
-		best, p.hold = sides.chosen(d)
-		found.ByRack(best.agent != nil, rack.Near)
+		best, p.hold = sides.Chosen(d)
+		found.ByRack(best.Agent != nil, rack.Near)
 		o.Reason = d.Reason
 		if p.hold {
 			o.Decision = string(explain.Hold)
 		}
 	}
 	if detailed {
-		found.Finish(&x.Explanation, x.limit, within, spreadJitter)
+		found.Finish(&x.Explanation, x.limit, within, placement.SpreadJitter)
 	}
-	if best.agent != nil {
-		o.Choice, o.WaitMS, o.ScoreMS = best.agent.id.Host, explain.Milliseconds(best.scored.Wait), explain.Milliseconds(best.scored.Score())
+	if best.Agent != nil {
+		o.Choice, o.WaitMS, o.ScoreMS = best.Agent.ID.Host, explain.Milliseconds(best.Scored.Wait), explain.Milliseconds(best.Scored.Score())
 	}
-	p.task, p.agent, p.wait = t, best.agent, best.scored.Wait
+	p.task, p.agent, p.wait = t, best.Agent, best.Scored.Wait
 	return o, p
 }
 
@@ -222,39 +221,11 @@
 func (b *Broker) excludedBecause(now time.Duration, a *agent, t *task, excluded string) string {
 	switch {
 	case excluded == excludedUnusable:
-		return a.state(now, &b.settings)
-	case excluded != excludedOther:
-		return excluded
-	case a.view.Load.Service != t.job.sub.Queue.Service:
-		return "other-service"
-	case t.spec.RequiredLabel != "" && !slices.Contains(a.view.Load.Labels, t.spec.RequiredLabel):
-		return "label-missing"
+		return a.State(now, &b.settings.Limits)
+	case excluded == excludedOther:
+		return a.Excludes(t.need())
 	}
-	return reasonTooLarge
-}
-
-// AgentReady is the state of an agent that may get tasks.
-const AgentReady = "ready"
-
-// state returns AgentReady, or the first condition for which the agent gets no tasks.
-func (a *agent) state(now time.Duration, s *Settings) string {
-	switch l := &a.view.Load; {
-	case a.usable(now, s):
-		return AgentReady
-	case !a.connected:
-		return "not-connected"
-	case now-a.heartbeatAt > s.HeartbeatTimeout:
-		return "no-heartbeat"
-	case l.Draining:
-		return "leaving"
-	case a.evacuated || l.Evacuated:
-		return reasonEvacuated
-	case !l.Ready:
-		return "not-ready"
-	case now < a.avoidUntil:
-		return "has-just-refused"
-	}
-	return "no-reaction"
+	return excluded
 }
 
 // AgentStates returns the state of the agents for operators, at most limit, and the number
@@ -262,29 +233,15 @@
 func (b *Broker) AgentStates(now time.Duration, limit int) (out []status.HostedAgent, omitted int) {
 	limit = min(limit, len(b.agentList))
 	for _, a := range b.agentList[:limit] {
-		l := &a.view.Load
-		s := status.HostedAgent{
-			Host: a.id.Host, Incarnation: a.id.Incarnation, DataCentre: a.dataCentre, Service: a.service, Labels: l.Labels,
-			State: a.state(now, &b.settings), CapacityCPU: l.CapacityCPU, CapacityMem: l.CapacityMem, QueuedWorkMS: l.QueuedWork,
-			Slowness: l.Slowness, ColdMS: l.ColdMS, FailurePercent: l.FailurePercent, Stuck: l.Stuck, Quarantined: a.quarantined, Suspects: a.suspects,
-			Tasks: len(a.tasks), ReportAgeMS: (now - a.reportAt).Milliseconds(), HeartbeatAgeMS: (now - a.heartbeatAt).Milliseconds(),
-		}
-		s.FreeCPU, s.FreeMem, _ = a.view.Free(0)
+		s := a.Status(now, &b.settings.Limits)
+		s.Quarantined, s.Suspects, s.Tasks = a.quarantined, a.suspects, len(a.tasks)
 		out = append(out, s)
 	}
 	return out, len(b.agentList) - limit
 }
 
 // CautiousQueues returns the queues whose jobs are kept apart after crashes of upstreams.
-func (b *Broker) CautiousQueues(now time.Duration) map[string]string {
-	out := map[string]string{}
-	for _, queue := range b.poison.Queues() {
-		if c := b.poison.Caution(now, queue); c != poison.Unrestricted {
-			out[queue] = c.String()
-		}
-	}
-	return out
-}
+func (b *Broker) CautiousQueues(now time.Duration) map[string]string { return b.poison.Cautions(now) }
 
 // HeldTasks returns the number of tasks that wait for an agent that can take them.
 func (b *Broker) HeldTasks() int { return len(b.unplaced) }
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -17,43 +17,14 @@
 // over. Reports of their rack decide them anyway.
 const maxRedecisions = 16
 
-func (a *agent) onRack(rack string) bool { return slices.Contains(a.view.Load.Labels, rack) }
+func (a *agent) onRack(rack string) bool { return slices.Contains(a.View.Load.Labels, rack) }
 
-// option is an agent on which a task could run; its agent is nil if there is none.
-type option struct {
-	agent  *agent
-	scored placement.Candidate
-}
-
-// input returns the option as the decision sees it.
-func (o option) input() locality.Option {
-	c := o.scored
-	return locality.Option{Usable: o.agent != nil, Wait: c.Wait, Run: c.Run, Penalty: c.Score() - c.Wait - c.Run}
-}
-
-// rackOptions are the best options on a task's rack and off it.
-type rackOptions struct{ near, far option }
-
-func (r *rackOptions) add(a *agent, c placement.Candidate, t *task, within time.Duration) {
-	o := &r.far
-	if a.onRack(t.spec.PreferredRack) {
-		o = &r.near
-	}
-	if o.agent == nil || c.Better(o.scored, within) {
-		*o = option{agent: a, scored: c}
-	}
-}
-
-// chosen returns the option that a decision stands for, and whether the task is held instead.
-func (r *rackOptions) chosen(d locality.Decision) (o option, hold bool) {
-	switch d.Action {
-	case locality.NearNow, locality.QueueNear:
-		return r.near, false
-	case locality.Far:
-		return r.far, false
-	}
-	return option{}, d.Action == locality.Hold
-}
+// option is an agent on which a task could run, and rackOptions are the best ones on a task's rack
+// and off it.
+type (
+	option      = locality.Choice[*agent]
+	rackOptions = locality.Sides[*agent]
+)
 
 // rackOptions returns the best agents on the task's rack and off it.
 func (b *Broker) rackOptions(now time.Duration, t *task) (r rackOptions) {
@@ -64,15 +35,17 @@
 		if excluded != "" {
 			continue
 		}
-		c.Random = time.Duration(b.random.Int63n(int64(spreadJitter)))
-		r.add(a, c, t, within)
+		c.Random = time.Duration(b.random.Int63n(int64(placement.SpreadJitter)))
+		r.Prefer(a.onRack(t.spec.PreferredRack), a, c, within)
 	}
 	return r
 }
 
 // rackInput returns what the decision about a task depends on, beside what was learned.
 func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
-	return locality.Input{Now: now, Near: r.near.input(), Far: r.far.input(), Left: b.waitLeft(now, t), JobEnd: t.job.endOfOthers(now, t)}
+	in := r.Input()
+	in.Now, in.Left, in.JobEnd = now, b.waitLeft(now, t), t.job.endOfOthers(now, t)
+	return in
 }
 
 // choose returns the agent for a task, or nil. hold is set if the task is to be held for its
@@ -83,8 +56,8 @@
 		return best, chosen, false
 	}
 	r := b.rackOptions(now, t)
-	o, hold := r.chosen(b.racks.Choose(t.rack, b.rackInput(now, t, r), b.heldCPU(t)))
-	return o.agent, o.scored, hold
+	o, hold := r.Chosen(b.racks.Choose(t.rack, b.rackInput(now, t, r), b.heldCPU(t)))
+	return o.Agent, o.Scored, hold
 }
 
 // waitLeft returns how long the task may still wait with its job on time.
@@ -133,33 +106,10 @@
 	}
 }
 
-// rackReleased counts the capacity of an attempt that has ended, at each rack of its agent.
-func (b *Broker) rackReleased(now time.Duration, t *task) {
-	if t.rack == nil {
-		return
-	}
-	t.rack.EndAt = 0
-	if t.started {
-		for _, label := range t.agent.view.Load.Labels {
-			b.racks.Released(now, locality.Key{Service: t.rack.Key.Service, Rack: label}, t.spec.CPU)
-		}
-	}
-}
-
-// runTimeOnRack learns from a run that has succeeded, and returns the run time that it would
-// have had on its rack.
-func (b *Broker) runTimeOnRack(t *task, a *agent) time.Duration {
-	if t.rack == nil {
-		return t.runTime
-	}
-	ratio := float64(t.runTime) / max(float64(t.expected)*a.view.Slowdown(), 1)
-	return time.Duration(float64(t.runTime) / b.racks.Succeeded(t.rack, ratio))
-}
-
 // rackReported decides the tasks again that are held for the rack of an agent with a new
 // report, the most urgent first and then in the order of their arrival.
 func (b *Broker) rackReported(now time.Duration, a *agent) {
-	if len(b.racks.Keys()) == 0 || !a.usable(now, &b.settings) {
+	if len(b.racks.Keys()) == 0 || !a.Usable(now, &b.settings.Limits) {
 		return
 	}
 	defer b.moveToFreeRackmate(now, a)
@@ -173,7 +123,7 @@
 		return cmp.Compare(x.job.sub.Queue.Priority, y.job.sub.Queue.Priority)
 	})
 	for _, t := range waiting {
-		if t.unplaced && !t.job.closing && a.view.Wait(t.demand()) == 0 {
+		if t.unplaced && !t.job.closing && a.View.Wait(t.demand()) == 0 {
 			b.place(now, t)
 		}
 	}
@@ -187,8 +137,8 @@
 // new report, as many as it has free capacity for. They are placed again, and wait together for
 // all agents of the rack in this way.
 func (b *Broker) moveToFreeRackmate(now time.Duration, a *agent) {
-	free, _, _ := a.view.Free(0)
-	if free <= 0 || a.view.Load.Stuck {
+	free, _, _ := a.View.Free(0)
+	if free <= 0 || a.View.Load.Stuck {
 		return
 	}
 	for _, o := range b.agentList {
@@ -197,7 +147,7 @@
 				now-t.assignedAt < minQueued || !a.onRack(t.rack.Key.Rack) {
 				continue
 			}
-			if t.spec.CPU > free || a.view.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
+			if t.spec.CPU > free || a.View.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
 				continue
 			}
 			free -= t.spec.CPU
@@ -212,11 +162,11 @@
 	for _, key := range b.racks.Keys() {
 		var r locality.RackReport
 		for _, a := range b.agentList {
-			if a.service != key.Service || !a.usable(now, &b.settings) {
+			if a.Service != key.Service || !a.Usable(now, &b.settings.Limits) {
 				continue
 			}
-			free, _, _ := a.view.Free(0)
-			r.Add(a.onRack(key.Rack), a.view.Load.CapacityCPU, free)
+			free, _, _ := a.View.Free(0)
+			r.Add(a.onRack(key.Rack), a.View.Load.CapacityCPU, free)
 		}
 		b.racks.Observe(now, key, r)
 	}
@@ -237,22 +187,22 @@
 func (b *Broker) moveRacked(now time.Duration, a *agent, t *task) {
 	r := b.rackOptions(now, t)
 	here := b.candidate(a, t).Score()
-	usable := a.usable(now, &b.settings)
+	usable := a.Usable(now, &b.settings.Limits)
 	better := func(o option) bool {
-		return o.agent != nil && o.agent != a && o.scored.Wait == 0 && (!usable || here-o.scored.Score() >= minMoveGain)
+		return o.Agent != nil && o.Agent != a && o.Scored.Wait == 0 && (!usable || here-o.Scored.Score() >= minMoveGain)
 	}
 	switch {
-	case better(r.near):
-		b.withdrawRacked(now, t, r.near.agent, "moved")
-	case better(r.far) && !(usable && t.rack.Near && now < t.rack.WaitUntil):
-		b.withdrawRacked(now, t, r.far.agent, "moved")
+	case better(r.Near):
+		b.withdrawRacked(now, t, r.Near.Agent, "moved")
+	case better(r.Far) && !(usable && t.rack.Near && now < t.rack.WaitUntil):
+		b.withdrawRacked(now, t, r.Far.Agent, "moved")
 	}
 }
 
 // withdrawRacked withdraws a waiting task from its agent because another one is free.
 func (b *Broker) withdrawRacked(now time.Duration, t *task, to *agent, reason string) {
-	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: t.agent.id.Host, Action: "withdraw", Reason: reason,
-		Wait: now - t.assignedAt, ReportAge: now - to.heartbeatAt, FreeCPU: to.view.Load.FreeCPU})
+	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: t.agent.ID.Host, Action: "withdraw", Reason: reason,
+		Wait: now - t.assignedAt, ReportAge: now - to.HeartbeatAt, FreeCPU: to.View.Load.FreeCPU})
 	b.racks.WaitEnded(now, t.rack, now-t.assignedAt)
 	b.withdraw(now, t, true)
 }
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -5,9 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/agentlink"
 	"github.com/damasklb/damasklb/internal/capacity"
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/placement"
+	"github.com/damasklb/damasklb/internal/stuck"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -16,23 +18,6 @@
 // The wait at an agent is predicted from the agent's last report and from what was sent to
 // it since.
 const (
-	// spreadPenalty is added to the score of a fully used upstream, and a
-	// proportional part for a partly used one. It spreads the tasks of entries that
-	// see the same free upstreams.
-	spreadPenalty = 4 * time.Millisecond
-	// spreadJitter keeps entries from choosing the same upstream at the same time.
-	spreadJitter = time.Millisecond
-	// failurePenalty is added for an upstream on which all runs fail, and a
-	// proportional part for one on which some fail. It exceeds the wait at any
-	// upstream worth waiting for.
-	failurePenalty = 3 * time.Second
-	// avoidPenalty is added for the upstream on which the task failed last.
-	avoidPenalty = 2 * time.Second
-	// toleratedFailurePercent is the percentage of failed runs up to which no
-	// penalty is added.
-	toleratedFailurePercent = 12
-	// stuckPenalty is added for an upstream whose runs make no progress.
-	stuckPenalty = 5 * time.Second
 	// avoidAfterRefusal is the time without new tasks for an agent that has
 	// refused one for a reason other than load.
 	avoidAfterRefusal = 100 * time.Millisecond
@@ -41,26 +26,18 @@
 	moveAfter = 25 * time.Millisecond
 	// minMoveGain is the smallest gain for which a waiting task is moved.
 	minMoveGain = 15 * time.Millisecond
-	// reassignFactor is the multiple of its expected run time after which a run on
-	// a stuck upstream is stopped and its task run elsewhere, but not before
-	// minReassignAfter.
-	reassignFactor = 2
 	// tooLargeRetryAfter is the delay given to callers whose job exceeds all upstreams.
 	tooLargeRetryAfter = 2 * time.Second
-	minReassignAfter   = 150 * time.Millisecond
 )
 
-// serves reports whether the agent's upstream may run the task.
-func (a *agent) serves(t *task) bool {
-	if a.view.Load.Service != t.job.sub.Queue.Service {
-		return false
-	}
-	if t.spec.RequiredLabel != "" && !slices.Contains(a.view.Load.Labels, t.spec.RequiredLabel) {
-		return false
-	}
-	return t.spec.CPU <= a.view.Load.CapacityCPU && t.spec.MemMB <= a.view.Load.CapacityMem
+// need returns what the task requires of an upstream.
+func (t *task) need() agentlink.Need {
+	return agentlink.Need{Service: t.job.sub.Queue.Service, Label: t.spec.RequiredLabel, CPU: t.spec.CPU, MemMB: t.spec.MemMB}
 }
 
+// serves reports whether the agent's upstream may run the task.
+func (a *agent) serves(t *task) bool { return a.Excludes(t.need()) == "" }
+
 // atJobLimit reports whether the upstream has as many tasks of the job as may run
 // there.
 func (a *agent) atJobLimit(t *task) bool {
@@ -79,31 +56,21 @@
 // candidate returns what speaks for and against the agent's upstream for the task. It draws
 // no random number.
 func (b *Broker) candidate(a *agent, t *task) placement.Candidate {
-	c := placement.Candidate{Wait: a.view.Wait(t.demand()), Run: time.Duration(float64(t.expected) * a.view.Slowdown())}
-	if t.spec.PreferredRack != "" && !slices.Contains(a.view.Load.Labels, t.spec.PreferredRack) {
-		c.Run = time.Duration(float64(c.Run) * t.rack.OffRack(b.settings.FarRackFactor))
-	}
-	if a.dataCentre != b.settings.DataCentre {
-		c.Travel = 2 * b.settings.Distance
+	m := placement.Match{Task: t.demand(), Avoid: t.avoidHost == a.ID.Host}
+	if t.spec.PreferredRack != "" && !a.onRack(t.spec.PreferredRack) {
+		m.RunFactor = t.rack.OffRack(b.settings.FarRackFactor)
 	}
-	c.Spread = time.Duration(a.view.Used(t.job.sub.Queue.Priority) * float64(spreadPenalty))
-	if f := a.view.Load.FailurePercent; f > toleratedFailurePercent {
-		c.Failing = failurePenalty * time.Duration(f) / 100
+	if a.DataCentre != b.settings.DataCentre {
+		m.Travel = 2 * b.settings.Distance
 	}
-	if t.avoidHost == a.id.Host {
-		c.Avoided = avoidPenalty
-	}
-	if a.view.Load.Stuck {
-		c.Stuck = stuckPenalty
-	}
-	return c
+	return m.Candidate(&a.View)
 }
 
 // assess returns what speaks for and against the agent's upstream for the task, or the
 // reason why the task cannot be placed there. It changes nothing.
 func (b *Broker) assess(now time.Duration, a *agent, t *task) (c placement.Candidate, excluded string) {
 	switch {
-	case !a.usable(now, &b.settings):
+	case !a.Usable(now, &b.settings.Limits):
 		return c, excludedUnusable
 	case !a.serves(t):
 		return c, excludedOther
@@ -127,7 +94,7 @@
 		if excluded != "" {
 			continue
 		}
-		c.Random = time.Duration(b.random.Int63n(int64(spreadJitter)))
+		c.Random = time.Duration(b.random.Int63n(int64(placement.SpreadJitter)))
 		if best == nil || c.Better(chosen, within) {
 			best, chosen = a, c
 		}
@@ -171,17 +138,7 @@
 	if now < startupGrace || now < b.agentsExpectedUntil {
 		return false
 	}
-	known := false
-	for _, a := range b.agentList {
-		if a.service != t.job.sub.Queue.Service || a.capacityCPU == 0 {
-			continue
-		}
-		if t.spec.CPU <= a.capacityCPU && t.spec.MemMB <= a.capacityMem {
-			return false
-		}
-		known = true
-	}
-	return known
+	return agentlink.ExceedsAll(b.links(), t.need())
 }
 
 // cancelPlan releases the reserved capacity.
@@ -189,7 +146,7 @@
 	for i := len(placements) - 1; i >= 0; i-- {
 		if a := placements[i].agent; a != nil {
 			placements[i].task.plannedFor = ""
-			a.view.CancelLast()
+			a.View.CancelLast()
 		}
 	}
 }
@@ -200,7 +157,7 @@
 	t.plannedFor = a.key
 	d := t.demand()
 	d.Expected = t.rack.RunTime(t.expected)
-	t.seq = a.view.Reserve(now, d)
+	t.seq = a.View.Reserve(now, d)
 }
 
 // demand returns what the task takes of an upstream's capacity.
@@ -246,7 +203,7 @@
 	case b.agents[a.key] != a:
 		b.releaseTask(t)
 		b.close(now, t.job, Outcome{Kind: Unknown, Reason: "live-elsewhere"})
-	case now < t.liveRetryAt || !a.usable(now, &b.settings):
+	case now < t.liveRetryAt || !a.Usable(now, &b.settings.Limits):
 		b.retainTask(now, t)
 	default:
 		b.releaseTask(t)
@@ -268,11 +225,11 @@
 	t.assignedAt = now
 	t.acceptedToWait = t.acceptedToWait || wait > 0
 	a.tasks = append(a.tasks, t)
-	a.confirmedAt = now
+	a.ConfirmedAt = now
 	m := &wire.Assign{
 		Attempt: t.attempt(), Service: j.sub.Queue.Service, Spec: j.sub.Spec,
 		CPU: t.spec.CPU, MemMB: t.spec.MemMB, Priority: j.sub.Queue.Priority,
-		ExpectedMS: uint32(t.rack.RunTime(t.expected) / time.Millisecond), EchoMS: a.echoMS, Seq: t.seq,
+		ExpectedMS: uint32(t.rack.RunTime(t.expected) / time.Millisecond), EchoMS: a.EchoMS, Seq: t.seq,
 		Queue:   j.sub.Queue.Name,
 		SlackMS: int((j.arrived + j.slack() - now) / time.Millisecond),
 	}
@@ -285,8 +242,8 @@
 		m.StartWithinMS = uint32(max(j.arrived+j.startLimit()-now, time.Millisecond) / time.Millisecond)
 	}
 	b.send(a, m)
-	d := Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "assign",
-		Wait: wait, ReportAge: now - a.heartbeatAt, FreeCPU: a.view.Load.FreeCPU}
+	d := Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "assign",
+		Wait: wait, ReportAge: now - a.HeartbeatAt, FreeCPU: a.View.Load.FreeCPU}
 	d.Reason, d.Rack = b.racks.Assigned(now, t.rack)
 	b.emit(d)
 }
@@ -313,11 +270,11 @@
 	if best == nil || best == a || chosen.Wait > 0 {
 		return
 	}
-	if here := b.candidate(a, t); here.Score()-chosen.Score() < minMoveGain && a.usable(now, &b.settings) {
+	if here := b.candidate(a, t); here.Score()-chosen.Score() < minMoveGain && a.Usable(now, &b.settings.Limits) {
 		return
 	}
-	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "withdraw", Reason: "moved",
-		Wait: now - t.assignedAt, ReportAge: now - best.heartbeatAt, FreeCPU: best.view.Load.FreeCPU})
+	b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "withdraw", Reason: "moved",
+		Wait: now - t.assignedAt, ReportAge: now - best.HeartbeatAt, FreeCPU: best.View.Load.FreeCPU})
 	b.withdraw(now, t, true)
 }
 
@@ -325,36 +282,30 @@
 // elsewhere.
 func (b *Broker) reassignStuck(now time.Duration) {
 	for _, a := range b.agentList {
-		if !a.view.Load.Stuck {
+		if !a.View.Load.Stuck {
 			continue
 		}
 		for _, t := range a.tasks {
 			if !t.started || t.withdrawn || now-t.startedAt < t.reassignAfter(now) || t.job.closing {
 				continue
 			}
-			b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.id.Host, Action: "withdraw", Reason: "stuck",
-				Wait: now - t.startedAt, ReportAge: now - a.heartbeatAt})
+			b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "withdraw", Reason: "stuck",
+				Wait: now - t.startedAt, ReportAge: now - a.HeartbeatAt})
 			b.withdraw(now, t, false)
 		}
 	}
 }
 
-// reassignAfter returns the run time from which a run on a stuck upstream is
-// stopped. The tasks of a job are alike, so the run times of those that have ended,
-// or that still run on other upstreams, predict better than the expected one.
+// reassignAfter returns the run time from which a run on a stuck upstream is stopped.
 func (t *task) reassignAfter(now time.Duration) time.Duration {
-	var ended, running time.Duration
+	var siblings stuck.Siblings
 	for _, other := range t.job.tasks {
 		switch {
-		case other.done && (ended == 0 || other.runTime < ended):
-			ended = other.runTime
-		case other.started && !other.agent.view.Load.Stuck:
-			running = max(running, now-other.startedAt)
+		case other.done:
+			siblings.Ended(other.runTime)
+		case other.started && !other.agent.View.Load.Stuck:
+			siblings.Running(now - other.startedAt)
 		}
 	}
-	reference := ended
-	if reference == 0 {
-		reference = running
-	}
-	return max(minReassignAfter, reassignFactor*t.rack.RunTime(t.expected), reassignFactor*reference)
+	return siblings.ReassignAfter(t.rack.RunTime(t.expected))
 }
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -1,33 +1,20 @@
 package broker
 
 import (
-	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/quarantine"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // Tasks that crash their upstreams. All runs that an upstream had when it crashed are
 // suspects: they run again apart from each other, so that the next crash tells which one it
 // was, and a poison job ends as failed.
-const (
-	// trialPenalty is added for an upstream with a suspect of another job, and for a
-	// suspect for an upstream outside the quarantine.
-	trialPenalty = 20 * time.Millisecond
-	// trialFactor and trialMargin give the run time after which a run is no suspect: it
-	// has outlived the age at which its upstream crashed.
-	trialFactor = 2
-	trialMargin = 50 * time.Millisecond
-	// trialPatience is how long a suspect may wait for an upstream that may run it.
-	trialPatience = 300 * time.Millisecond
-	// maxApartOffers is the number of agents that may refuse a suspect because they have
-	// another, before it may run beside one.
-	maxApartOffers = 2
-	// maxLostRuns is the number of runs of a task whose end is unknown after which its
-	// job is given up.
-	maxLostRuns = 3
-)
+
+// maxLostRuns is the number of runs of a task whose end is unknown after which its job is given
+// up.
+const maxLostRuns = 3
 
 const (
 	reasonCrashes  = "crashes-upstreams"
@@ -78,9 +65,9 @@
 // than the one to which the earlier process had assigned tasks. That process may have ended
 // before it could report the crash.
 func (b *Broker) restartedUnder(now time.Duration, earlier *agent) {
-	present := b.agents[earlier.id.Host]
-	before := earlier.view.Load.StartMS
-	if present == nil || before == 0 || present.view.Load.StartMS == 0 || present.view.Load.StartMS == before || earlier.view.Load.Draining {
+	present := b.agents[earlier.ID.Host]
+	before := earlier.View.Load.StartMS
+	if present == nil || before == 0 || present.View.Load.StartMS == 0 || present.View.Load.StartMS == before || earlier.View.Load.Draining {
 		return
 	}
 	c := wire.UpstreamCrash{StartMS: before}
@@ -89,22 +76,13 @@
 			c.Runs = append(c.Runs, wire.CrashedRun{Attempt: t.attempt(), Queue: t.job.sub.Queue.Name})
 		}
 	}
-	b.CrashReported(now, earlier.id.Host, c)
+	b.CrashReported(now, earlier.ID.Host, c)
 }
 
-// giveUpSuspect gives a job up that has crashed an upstream, most likely: its queue is
-// quarantined, and no other job of the queue was under the crash, or the job was under two.
-// Another run would take one more of the few upstreams that the queue has. The evidence is
+// giveUpSuspect gives a job up that has crashed an upstream, most likely. The evidence is
 // too weak to call the job failed.
 func (b *Broker) giveUpSuspect(now time.Duration, j *job) bool {
-	if b.poison.Caution(now, j.sub.Queue.Name) != poison.Quarantined {
-		return false
-	}
-	underTwo := slices.ContainsFunc(j.tasks, func(t *task) bool {
-		crashes, _ := b.poison.Suspicion(wire.LeasedTask{Job: j.sub.ID, Index: uint16(t.index)})
-		return crashes > 1
-	})
-	if !underTwo && !b.poison.SoleSuspect(j.sub.ID) {
+	if !quarantine.GiveUpSuspect(now, b.poison, j.sub.Queue.Name, j.sub.ID, len(j.tasks)) {
 		return false
 	}
 	b.emit(Decision{Job: j.sub.ID, Action: "give-up", Reason: reasonSuspect, Crashes: b.poison.Crashes(j.sub.ID)})
@@ -122,49 +100,27 @@
 	}
 }
 
-// trial returns how the task has to run if upstreams have crashed under it. The suspects of
-// a first crash are many, and all but one innocent: they are only spread, unless other jobs
-// of their queue are poison.
-func (b *Broker) trial(now time.Duration, t *task) (wire.Trial, time.Duration) {
-	crashes, age := b.poison.Suspicion(wire.LeasedTask{Job: t.job.sub.ID, Index: uint16(t.index)})
-	switch {
-	case crashes == 0:
-		return wire.TrialNone, 0
-	case crashes > 1 || b.poison.Caution(now, t.job.sub.Queue.Name) != poison.Unrestricted:
-		return wire.TrialAlone, trialFactor*max(age, t.expected) + trialMargin
-	}
-	if t.trialRefusals < maxApartOffers {
-		return wire.TrialApart, trialFactor*max(age, t.expected) + trialMargin
-	}
-	return wire.TrialBesideOthers, trialFactor*max(age, t.expected) + trialMargin
+// suspect returns the task as the rules for suspects see it.
+func (t *task) suspect() quarantine.Task {
+	return quarantine.Task{ID: t.attempt().Task, Queue: t.job.sub.Queue.Name, Expected: t.expected, Refusals: t.trialRefusals}
 }
 
-// reasonTrialLimit is the agent's reason for refusing a suspect because of another one.
-const reasonTrialLimit = "trial-limit"
+// trial returns how the task has to run if upstreams have crashed under it.
+func (b *Broker) trial(now time.Duration, t *task) (wire.Trial, time.Duration) {
+	s := t.suspect()
+	return s.Trial(now, b.poison)
+}
 
 // mayTry reports whether the task may be assigned to the agent as far as crashes are
 // concerned, and the penalty for it.
 func (b *Broker) mayTry(now time.Duration, a *agent, t *task) (bool, time.Duration) {
-	var penalty time.Duration
 	trial, _ := b.trial(now, t)
-	if trial == wire.TrialAlone && b.poison.Pending(wire.LeasedTask{Job: t.job.sub.ID, Index: uint16(t.index)}) {
-		return false, 0
-	}
-	if b.poison.AnyCaution(now) {
-		switch caution := b.poison.Caution(now, t.job.sub.Queue.Name); {
-		case !a.quarantined && (caution == poison.Quarantined || (caution == poison.Separated && trial != wire.TrialNone)):
-			return false, 0
-		case (caution == poison.Unrestricted) == a.quarantined:
-			penalty += separationPenalty
-		}
-	}
-	if trial != wire.TrialNone && !a.quarantined {
-		penalty += trialPenalty
-	}
-	if a.view.Load.Trial == wire.TrialNone && a.suspects == 0 {
-		return true, penalty
+	s := t.suspect()
+	allowed, penalty := s.MayRun(now, b.poison, trial, a.quarantined)
+	if !allowed || (a.View.Load.Trial == wire.TrialNone && a.suspects == 0) {
+		return allowed, penalty
 	}
-	other := a.view.Load.Trial
+	other := a.View.Load.Trial
 	for _, o := range a.tasks {
 		switch trial := o.trialAt(now); {
 		case o.job != t.job:
@@ -174,10 +130,8 @@
 			return true, penalty
 		}
 	}
-	if trial != wire.TrialNone && max(trial, other) == wire.TrialAlone {
-		return false, 0
-	}
-	return true, penalty + trialPenalty
+	beside, more := quarantine.MayRunBeside(trial, other)
+	return beside, penalty + more
 }
 
 // trialAt returns the trial that the task's attempt is in.
@@ -202,16 +156,13 @@
 // suspectWithoutUpstream gives a suspect's job up if no upstream may run it for too long, or
 // the job if its queue has no upstream left. It reports whether it did.
 func (b *Broker) suspectWithoutUpstream(now time.Duration, t *task) bool {
-	caution := b.poison.Caution(now, t.job.sub.Queue.Name)
-	trial, _ := b.trial(now, t)
-	if caution != poison.Quarantined && trial != wire.TrialAlone {
-		return false
-	}
-	if now-t.unplacedAt < trialPatience {
+	s := t.suspect()
+	giveUp, suspect := s.GiveUpWaiting(now, b.poison, now-t.unplacedAt)
+	if !giveUp {
 		return false
 	}
 	reason := reasonQuarantine
-	if trial != wire.TrialNone {
+	if suspect {
 		reason = reasonNoTrial
 	}
 	b.close(now, t.job, Outcome{Kind: Refused, Reason: reason, RetryAfter: b.jitter(quarantineRetryAfter)})
