Let jobs that are late anyway yield to those that can still be on time

What is submitted again after 1.3 s is late whatever happens. Change: entries learn the short end of the usual timeouts of each queue's callers and keep it in the store; a lower timeout tells for how long at least the caller has waited. That time is taken from the job's slack, so it starts where capacity is free at once, or is refused with a delay.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -46,10 +46,11 @@
 }
 
 // slack returns how long the job's tasks may wait so that the job still ends
-// within the response time that its caller expects.
+// within the response time that its caller expects. A job that is late anyway keeps enough to
+// start where capacity is free at once.
 func (j *job) slack() time.Duration {
 	q := j.sub.Queue
-	s := time.Duration((q.Stretch-1)*float64(j.longestExpected())) + q.LatencyTarget - overhead
+	s := time.Duration((q.Stretch-1)*float64(j.longestExpected())) + q.LatencyTarget - overhead - j.waited
 	return max(s, 5*time.Millisecond)
 }
 
@@ -57,7 +58,7 @@
 // ends within the response time that its caller expects.
 func (j *job) timeLeft(now time.Duration) time.Duration {
 	q := j.sub.Queue
-	return j.arrived + time.Duration(q.Stretch*float64(j.longestExpected())) + q.LatencyTarget - overhead - now
+	return j.arrived - j.waited + time.Duration(q.Stretch*float64(j.longestExpected())) + q.LatencyTarget - overhead - now
 }
 
 // startLimit returns the time after a job's arrival at which it is refused if it
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -17,6 +17,7 @@
 	"github.com/damasklb/damasklb/internal/poison"
 	"github.com/damasklb/damasklb/internal/reports"
 	"github.com/damasklb/damasklb/internal/runtimes"
+	"github.com/damasklb/damasklb/internal/timeouts"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -48,6 +49,8 @@
 
 	// racks decides for the tasks that prefer a rack.
 	racks *locality.Racks
+	// timeouts tells how long callers have waited before they submitted a job.
+	timeouts timeouts.Usual
 
 	evacuations evacuation.EntryTracker
 
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -15,9 +15,11 @@
 
 // job is a submission that has not ended, or whose runs may not all have ended.
 type job struct {
-	sub       Submission
-	stats     *runtimes.Stats
-	arrived   time.Duration
+	sub     Submission
+	stats   *runtimes.Stats
+	arrived time.Duration
+	// waited is the time for which the caller had certainly waited before.
+	waited    time.Duration
 	waiters   []Waiter
 	tasks     []*task
 	openTasks int
@@ -124,6 +126,7 @@
 	}
 	j := newJob(now, sub, b.statsOf(sub.Queue.Name), b.racks)
 	j.waiters, j.earlierLastRun, j.lastRun = []Waiter{w}, earlier.LastRun, earlier.LastRun
+	b.noteTimeout(j)
 	// Another entry may have run it.
 	j.started = b.poison.HasRun(sub.ID)
 	b.jobs[sub.ID] = j
--- a/internal/brokerapi/effects.go
+++ b/internal/brokerapi/effects.go
@@ -42,6 +42,9 @@
 	// assignment or the start, refusals to the retry delay.
 	Wait, ReportAge time.Duration
 	FreeCPU         int
+	// Timeout is set for jobs that are submitted late; Wait is then how long the caller had
+	// waited before.
+	Timeout time.Duration
 	// Tasks is the number of the job's tasks, AtOnce the number of those that would
 	// have started without a wait. Only refusals set them.
 	Tasks, AtOnce int
--- a/internal/brokerapi/settings.go
+++ b/internal/brokerapi/settings.go
@@ -31,6 +31,9 @@
 	EvacuateWithin time.Duration
 	// Preemption are the limits of stops for more urgent work.
 	Preemption preemption.Settings
+	// LateJobsYield is whether jobs whose callers have waited before, as their timeouts show,
+	// yield to those that can still be on time.
+	LateJobsYield bool
 	// Locality bounds the wait of tasks for their preferred rack.
 	Locality locality.Settings
 }
@@ -45,6 +48,7 @@
 		Limits:          agentlink.Limits{HeartbeatTimeout: 420 * time.Millisecond, ReactionTimeout: 60 * time.Millisecond, RunsEndedAfter: endedAfter},
 		AnswerRetention: 6 * time.Second,
 		ResumeDelay:     30 * time.Millisecond,
+		LateJobsYield:   true,
 		Locality:        locality.Settings{MaxWait: locality.DefaultMaxWait},
 	}
 }
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -80,6 +80,7 @@
 	e.spawn(func() { register(ctx, o.Store, o.Process, o.Log) })
 	e.spawn(func() { follow(ctx, o.Store, o.ConfigTable, configWait, o.Log, e.configChanged) })
 	e.spawn(func() { follow(ctx, o.Store, upstreamsTable, hostsWait, o.Log, e.upstreamsChanged) })
+	e.spawn(func() { e.keepTimeouts(ctx) })
 	e.spawn(func() { <-ctx.Done(); listener.Close() })
 	return e, nil
 }
@@ -139,6 +140,9 @@
 		return
 	}
 	switch m.Action {
+	case "late-submission":
+		e.log.Info("job submitted late", "job", m.Job, "queue", m.Queue, "waited_ms", m.Wait.Milliseconds(), "timeout_ms", m.Timeout.Milliseconds())
+		return
 	case "upstream-crashed":
 		e.log.Warn("upstream crashed", "agent", m.Agent, "runs", m.Runs)
 		return
