--- a/internal/leasetest/contention_test.go
+++ b/internal/leasetest/contention_test.go
@@ -31,6 +31,8 @@
 	entryShares []float64
 	seed        int64
 	duration    time.Duration
+	// submit, if set, is called with each job before it is submitted.
+	submit func(*clientJob)
 	// prepare, if set, is called before the load begins.
 	prepare func(*world)
 }
@@ -116,6 +118,9 @@
 					j.tasks[k].cpu = max(1, int(float64(d.cpu)*(1+0.2*w.rng.NormFloat64())))
 				}
 				out.jobs[i] = append(out.jobs[i], j)
+				if d.submit != nil {
+					d.submit(j)
+				}
 				w.submit(j, w.entries[d.entry(w)])
 			}
 		}
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -128,7 +128,9 @@
 	entry       *entry
 	waiter      broker.Waiter
 	// queue is the queue to which the job is submitted; nil means the world's.
-	queue        *catalog.Queue
+	queue *catalog.Queue
+	// timeout is how long the caller waits for the answer; 0 means no limit.
+	timeout      time.Duration
 	sentAt       time.Duration
 	responseTime time.Duration
 	outcome      broker.OutcomeKind
@@ -250,7 +252,7 @@
 	if j.queue != nil {
 		queue = j.queue
 	}
-	sub := broker.Submission{ID: j.id, Queue: queue}
+	sub := broker.Submission{ID: j.id, Queue: queue, Timeout: j.timeout}
 	for _, s := range j.tasks {
 		estimate := s.estimate
 		if estimate == 0 {
