--- a/internal/timeouts/timeouts.go
+++ b/internal/timeouts/timeouts.go
@@ -129,12 +129,12 @@
 	}
 }
 
-// Learned returns the short end of the usual timeouts of the queues that have submitted enough
-// jobs to this process.
+// Learned returns the short end of the usual timeouts of the queues for which it is known, from
+// their jobs or from what was restored.
 func (u *Usual) Learned() map[string]time.Duration {
 	out := map[string]time.Duration{}
 	for name, q := range u.queues {
-		if q.total >= minSamples && q.usual > 0 {
+		if q.usual > 0 {
 			out[name] = q.usual
 		}
 	}
--- a/internal/timeouts/timeouts_test.go
+++ b/internal/timeouts/timeouts_test.go
@@ -98,6 +98,9 @@
 	if w := u.Submitted("q", 700*ms); w < second {
 		t.Errorf("waited %v, want more than a second", w)
 	}
+	if got := u.Learned()["q"]; got != l["q"] {
+		t.Errorf("after a restart %v is kept, want %v: a second restart would lose it", got, l["q"])
+	}
 	if wrong := learn(&u, rand.New(rand.NewSource(6)), 1000); wrong > 5 {
 		t.Errorf("%d of 1000 new jobs pass for old ones", wrong)
 	}
