Forecast the release of a stopped run from its stop, not from its start

Cause: the forecast took a run that is being stopped for one that has far outlasted the 50 ms of a stop, since its age counted from the start. At an upstream whose only run, 5 s old, was being stopped, the predicted wait was 21 s.

Change: the age of a run that is being stopped counts from the stop. A negative age, as a test asks for by a time before the stop, counts as 0 instead of an index out of range.

Result: TestForecastOfAStoppedRunFollowsTheStop failed with 21,000 ms before and passes, as do the other tests of runner and forecast.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -54,7 +54,7 @@
 // outlasts returns the probability that a run lasts longer than a multiple of its expected
 // run time.
 func outlasts(multiple float64) float64 {
-	i := multiple / tableStep
+	i := max(multiple, 0) / tableStep
 	if i >= float64(len(survival)-1) {
 		return survival[len(survival)-1] * tableEnd / multiple
 	}
--- a/internal/runner/forecast.go
+++ b/internal/runner/forecast.go
@@ -49,11 +49,11 @@
 			continue
 		}
 		occupied += a.assign.CPU
-		expected := time.Duration(float64(a.assign.ExpectedMS) * slowness * float64(time.Millisecond))
+		run := forecast.Run{CPU: a.assign.CPU, Age: now - a.startSentAt, Expected: time.Duration(float64(a.assign.ExpectedMS) * slowness * float64(time.Millisecond))}
 		if a.phase == phaseStopping {
-			expected = r.settings.StopAnswerTimeout
+			run.Age, run.Expected = now-a.stopFirstSentAt, r.settings.StopAnswerTimeout
 		}
-		runs = append(runs, forecast.Run{CPU: a.assign.CPU, Age: now - a.startSentAt, Expected: expected})
+		runs = append(runs, run)
 	}
 	if len(runs) == 0 {
 		return
