Count what runs above a shrunk capacity in the forecast

Cause: the forecast started from the free capacity, which is 0 at least. After a capacity had shrunk from 10 to 4 cores with 10 in use, it predicted 328 ms, as before, although four of the five runs have to end before the next task starts.

Change: the forecast starts from the capacity less what is in use, which may be negative.

Result: TestForecastAfterACapacityHasShrunk failed with 328 ms before and passes, as do the other tests of runner.

--- a/internal/runner/forecast.go
+++ b/internal/runner/forecast.go
@@ -62,7 +62,8 @@
 	released := forecast.Rate(runs)
 	r.startRates.decayTo(now)
 	ahead := r.queue.cpu()
-	lacking, urgentRate := l.TaskCPU-l.FreeCPU, 0.0
+	// More may run than the upstream has left: its capacity has shrunk.
+	lacking, urgentRate := l.TaskCPU+r.usedCPU-r.usableCPU(now), 0.0
 	last, wait := 0, time.Duration(0)
 	for i := range l.WaitMS {
 		lacking += ahead[i]
--- a/internal/runner/forecast_faults_test.go
+++ b/internal/runner/forecast_faults_test.go
@@ -20,3 +20,18 @@
 		t.Errorf("wait of %d ms while the only run is being stopped, want about %v", w, r.settings.StopAnswerTimeout)
 	}
 }
+
+// Guards against a wait that ends with the first release although the capacity has shrunk, so
+// that what runs exceeds it.
+func TestForecastAfterACapacityHasShrunk(t *testing.T) {
+	r := newReady(t)
+	for _, job := range []string{"1", "2", "3", "4", "5"} {
+		assign(r, begin, entryA, job, func(m *wire.Assign) { m.CPU, m.ExpectedMS = 2000, 500 })
+	}
+	before := r.Load(begin, entryA).WaitMS[0]
+	r.Announce(begin, Announcement{UpstreamID: incarnation, Service: "s", CPU: 4000, MemMB: 1000, Seq: 2})
+	// Four runs have to end before the next task starts, not one.
+	if after := r.Load(begin, entryA).WaitMS[0]; after < before*3/2 {
+		t.Errorf("wait of %d ms with 10 of 4 cores in use, %d ms with 10 of 10", after, before)
+	}
+}
