Predict the wait for memory as well as for cores

Cause: an upstream whose memory was full and whose cores were not seemed to take the next task in 0 ms (its agent) or 1 ms (the entry), also with tasks waiting there for memory. Such an upstream comes before others that are really free soon, and jobs are not refused for it.

Change: the agent forecasts the release of memory from the same runs, only if memory may be short; the longer wait counts. The entry predicts the wait of a task that exceeds the free memory from the rate at which cores come free, in proportion to what is in use.

Result: TestForecastOfFullMemory (0 ms before) and TestWaitForMemory (1 ms before) failed and pass, as do the other tests of runner, capacity and broker.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -149,8 +149,21 @@
 	for _, u := range v.unreported {
 		lacking += u.cpu
 	}
-	wait += time.Duration(float64(lacking) / float64(v.Load.ReleaseRate[level]) * float64(time.Second))
-	return max(wait, minWait)
+	rate := float64(v.Load.ReleaseRate[level])
+	wait += time.Duration(float64(lacking) / rate * float64(time.Second))
+	return max(wait, v.memoryWait(t, rate), minWait)
+}
+
+// memoryWait predicts the wait for memory alone: runs release it with their cores, in proportion
+// to what is in use.
+func (v *View) memoryWait(t Task, cpuRate float64) time.Duration {
+	_, free, _ := v.Free(t.Priority)
+	usedCPU, usedMem := v.Load.CapacityCPU-v.Load.FreeCPU, v.Load.CapacityMem-v.Load.FreeMem
+	if free >= t.MemMB || usedMem <= 0 {
+		return 0
+	}
+	rate := cpuRate * float64(usedMem) / float64(max(usedCPU, 1))
+	return time.Duration(float64(t.MemMB-free) / rate * float64(time.Second))
 }
 
 // minWait is the wait predicted for a task that does not fit now.
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -73,3 +73,22 @@
 		t.Errorf("a task behind 50 ms of work waits %v", w)
 	}
 }
+
+// Guards against an upstream whose memory is full and whose cores are not, and which seems to
+// take a task within a millisecond: entries sent it one task after another.
+func TestWaitForMemory(t *testing.T) {
+	var v View
+	// 5 of 10 cores and 900 of 1000 MiB are in use; 5 cores a second come free, with 900 MiB.
+	l := wire.Load{CapacityCPU: 10_000, CapacityMem: 1000, FreeCPU: 5000, FreeMem: 100, Slowness: 100, TaskCPU: 1000}
+	l.ReleaseRate = [wire.PriorityLevels]uint32{5000, 5000, 5000, 5000}
+	v.Report(l)
+	large := Task{CPU: 1000, MemMB: 400, Expected: 200 * time.Millisecond}
+	// A third of the memory in use is missing.
+	if w := v.Wait(large); w < 300*time.Millisecond || w > 370*time.Millisecond {
+		t.Errorf("a task of 400 MiB waits %v, want a third of a second", w)
+	}
+	v.Reserve(0, Task{CPU: 1000, MemMB: 100, Expected: 200 * time.Millisecond})
+	if w := v.Wait(large); w < 400*time.Millisecond || w > 490*time.Millisecond {
+		t.Errorf("it waits %v behind a task of 100 MiB, want a ninth of a second more", w)
+	}
+}
--- a/internal/runner/forecast.go
+++ b/internal/runner/forecast.go
@@ -41,43 +41,81 @@
 // addForecast adds to a load how long a further task of ordinary size would wait at each
 // priority. Only the agent has the ages of the runs and the queue at this moment.
 func (r *Runner) addForecast(now time.Duration, l *wire.Load) {
-	var runs []forecast.Run
-	occupied := 0
 	slowness := float64(l.Slowness) / healthySlowness
+	// More may run than the upstream has left: its capacity has shrunk.
+	cores := shortage{runs: r.forecastRuns(now, slowness, func(m *wire.Assign) int { return m.CPU }), lacking: r.usedCPU - r.usableCPU(now)}
+	if len(cores.runs) == 0 {
+		return
+	}
+	cores.needFor(r.usedCPU / len(cores.runs))
+	l.TaskCPU = cores.task
+	cpuAhead, memAhead := r.queue.size()
+	// Memory may be full while cores are free.
+	memory := shortage{lacking: r.usedMem - r.upstream.MemMB}
+	memory.needFor(r.usedMem / len(cores.runs))
+	if memory.lacking+sum(memAhead) > 0 {
+		memory.runs = r.forecastRuns(now, slowness, func(m *wire.Assign) int { return m.MemMB })
+	}
+	released := forecast.Rate(cores.runs)
+	r.startRates.decayTo(now)
+	urgentRate := 0.0
+	for i := range l.WaitMS {
+		wait, memoryWait := cores.waitBehind(cpuAhead[i]), memory.waitBehind(memAhead[i])
+		share := max(1-urgentRate/released, minReleaseShare)
+		l.ReleaseRate[i] = uint32(min(released*share, math.MaxUint32))
+		l.WaitMS[i] = uint16(min(float64(max(wait, memoryWait)/time.Millisecond)/share, math.MaxUint16))
+		if by, ok := r.waitByPreemption(now, i, cores.need, wait); ok && memoryWait == 0 {
+			l.WaitMS[i] = uint16(by / time.Millisecond)
+		}
+		urgentRate += r.startRates.rates[i]
+	}
+}
+
+// forecastRuns returns the runs with what they hold of one resource.
+func (r *Runner) forecastRuns(now time.Duration, slowness float64, size func(*wire.Assign) int) []forecast.Run {
+	var runs []forecast.Run
 	for _, a := range r.active {
 		if !a.occupies() {
 			continue
 		}
-		occupied += a.assign.CPU
-		run := forecast.Run{CPU: a.assign.CPU, Age: now - a.startSentAt, Expected: time.Duration(float64(a.assign.ExpectedMS) * slowness * float64(time.Millisecond))}
+		run := forecast.Run{CPU: size(&a.assign), Age: now - a.startSentAt, Expected: time.Duration(float64(a.assign.ExpectedMS) * slowness * float64(time.Millisecond))}
 		if a.phase == phaseStopping {
 			run.Age, run.Expected = now-a.stopFirstSentAt, r.settings.StopAnswerTimeout
 		}
 		runs = append(runs, run)
 	}
-	if len(runs) == 0 {
-		return
+	return runs
+}
+
+// shortage predicts waits for cores or for memory.
+type shortage struct {
+	runs []forecast.Run
+	// task is what a task of ordinary size takes, lacking what is missing for it behind those
+	// that wait so far; need is that in whole tasks, and wait the time until it comes free.
+	task, lacking, need int
+	wait                time.Duration
+}
+
+func (s *shortage) needFor(task int) {
+	s.task = task
+	s.lacking += task
+}
+
+// waitBehind returns the wait behind further tasks.
+func (s *shortage) waitBehind(ahead int) time.Duration {
+	s.lacking += ahead
+	if need := wholeTasks(s.lacking, s.task); need != s.need {
+		s.need, s.wait = need, forecast.Until(s.runs, need)
 	}
-	l.TaskCPU = occupied / len(runs)
-	released := forecast.Rate(runs)
-	r.startRates.decayTo(now)
-	ahead := r.queue.cpu()
-	// More may run than the upstream has left: its capacity has shrunk.
-	lacking, urgentRate := l.TaskCPU+r.usedCPU-r.usableCPU(now), 0.0
-	last, wait := 0, time.Duration(0)
-	for i := range l.WaitMS {
-		lacking += ahead[i]
-		if need := wholeTasks(lacking, l.TaskCPU); need != last {
-			last, wait = need, forecast.Until(runs, need)
-		}
-		share := max(1-urgentRate/released, minReleaseShare)
-		l.ReleaseRate[i] = uint32(min(released*share, math.MaxUint32))
-		l.WaitMS[i] = uint16(min(float64(wait/time.Millisecond)/share, math.MaxUint16))
-		if by, ok := r.waitByPreemption(now, i, last, wait); ok {
-			l.WaitMS[i] = uint16(by / time.Millisecond)
-		}
-		urgentRate += r.startRates.rates[i]
+	return s.wait
+}
+
+func sum(byPriority [wire.PriorityLevels]int) int {
+	n := 0
+	for _, x := range byPriority {
+		n += x
 	}
+	return n
 }
 
 // wholeTasks rounds cores up to a multiple of the size of a task: cores are released by whole
--- a/internal/runner/forecast_faults_test.go
+++ b/internal/runner/forecast_faults_test.go
@@ -35,3 +35,19 @@
 		t.Errorf("wait of %d ms with 10 of 4 cores in use, %d ms with 10 of 10", after, before)
 	}
 }
+
+// Guards against an upstream whose memory is full and whose cores are not, and which seems to
+// take the next task within a millisecond.
+func TestForecastOfFullMemory(t *testing.T) {
+	r := newReady(t)
+	large := func(m *wire.Assign) { m.CPU, m.MemMB, m.ExpectedMS = 1000, 500, 900 }
+	assign(r, begin, entryA, "1", large)
+	assign(r, begin, entryA, "2", large)
+	if w := r.Load(begin, entryA).WaitMS[0]; w < 100 {
+		t.Errorf("wait of %d ms for memory that runs of 900 ms hold", w)
+	}
+	assign(r, begin, entryA, "3", large)
+	if next := r.Load(begin, entryA).WaitMS[0]; next < 200 {
+		t.Errorf("wait of %d ms behind a task that waits for memory", next)
+	}
+}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -58,13 +58,14 @@
 		(a.assign.Priority == q[0].assign.Priority && a.dueAt < q[0].dueAt)
 }
 
-// cpu returns the cores that waiting attempts take, by priority.
-func (q queue) cpu() [wire.PriorityLevels]int {
-	var out [wire.PriorityLevels]int
+// size returns the cores and the memory that waiting attempts take, by priority.
+func (q queue) size() (cpu, memMB [wire.PriorityLevels]int) {
 	for _, a := range q {
-		out[wire.PriorityLevel(a.assign.Priority)] += a.assign.CPU
+		level := wire.PriorityLevel(a.assign.Priority)
+		cpu[level] += a.assign.CPU
+		memMB[level] += a.assign.MemMB
 	}
-	return out
+	return cpu, memMB
 }
 
 // work returns the waiting work by priority, in milliseconds of an upstream of
