Keep forecasts from being rounded to values with another meaning

Cause: a release rate below one thousandth of a core per second was sent as 0, which says that the agent makes no forecast: the entry then predicted waits of some 200 ms at an upstream held by runs of weeks. A wait below a millisecond was sent as 0, which says that a task starts at once. Without a run that holds cores, the rate was 0/0, whose conversion to an integer differs between processors.

Change: the rate is at least 1, waits are rounded up, the longest time of a stop is bounded by its field, and without cores in use there is no forecast.

Result: TestForecastStaysInItsFields failed for the rate before and passes; its part about a run without cores also passed before on this processor. The other tests of runner pass.

--- a/internal/runner/forecast.go
+++ b/internal/runner/forecast.go
@@ -44,7 +44,7 @@
 	slowness := float64(l.Slowness) / healthySlowness
 	// More may run than the upstream has left: its capacity has shrunk.
 	cores := shortage{runs: r.forecastRuns(now, slowness, func(m *wire.Assign) int { return m.CPU }), lacking: r.usedCPU - r.usableCPU(now)}
-	if len(cores.runs) == 0 {
+	if r.usedCPU == 0 {
 		return
 	}
 	cores.needFor(r.usedCPU / len(cores.runs))
@@ -62,10 +62,13 @@
 	for i := range l.WaitMS {
 		wait, memoryWait := cores.waitBehind(cpuAhead[i]), memory.waitBehind(memAhead[i])
 		share := max(1-urgentRate/released, minReleaseShare)
-		l.ReleaseRate[i] = uint32(min(released*share, math.MaxUint32))
-		l.WaitMS[i] = uint16(min(float64(max(wait, memoryWait)/time.Millisecond)/share, math.MaxUint16))
+		// A rate of 0 would say that there is no forecast, and a wait of 0 that a task starts at
+		// once.
+		l.ReleaseRate[i] = uint32(max(min(released*share, math.MaxUint32), 1))
+		wholeMS := math.Ceil(float64(max(wait, memoryWait)) / float64(time.Millisecond) / share)
+		l.WaitMS[i] = uint16(min(wholeMS, math.MaxUint16))
 		if by, ok := r.waitByPreemption(now, i, cores.need, wait); ok && memoryWait == 0 {
-			l.WaitMS[i] = uint16(by / time.Millisecond)
+			l.WaitMS[i] = uint16(min(by/time.Millisecond, math.MaxUint16))
 		}
 		urgentRate += r.startRates.rates[i]
 	}
--- a/internal/runner/forecast_faults_test.go
+++ b/internal/runner/forecast_faults_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -51,3 +52,23 @@
 		t.Errorf("wait of %d ms behind a task that waits for memory", next)
 	}
 }
+
+// Guards against a forecast that is rounded to 0 and so means that there is none, or that a task
+// starts at once; and against one that is not a number because no run occupies cores.
+func TestForecastStaysInItsFields(t *testing.T) {
+	r := newReady(t)
+	assign(r, begin, entryA, "long", func(m *wire.Assign) { m.CPU, m.ExpectedMS = 100, math.MaxUint32 })
+	if l := r.Load(begin, entryA); l.ReleaseRate[0] == 0 {
+		t.Error("an upstream with a run of weeks reports no forecast")
+	}
+	r = newReady(t)
+	assign(r, begin, entryA, "short", func(m *wire.Assign) { m.CPU, m.ExpectedMS = 10_000, 1 })
+	if l := r.Load(begin, entryA); l.FreeCPU != 0 || l.WaitMS[0] == 0 {
+		t.Errorf("%d cores free and a wait of %d ms at a full upstream", l.FreeCPU, l.WaitMS[0])
+	}
+	r = newReady(t)
+	assign(r, begin, entryA, "no cores", func(m *wire.Assign) { m.CPU, m.ExpectedMS = 0, 100 })
+	if l := r.Load(begin, entryA); l.WaitMS != [wire.PriorityLevels]uint16{} {
+		t.Errorf("waits of %v ms at an idle upstream", l.WaitMS)
+	}
+}
