Allow preemption by the run time on the upstream that gets the task

Cause: an entry allowed a run to yield if its job could restart in time after the latest stop, counted as a share of the run time on a healthy upstream and on the preferred rack. Agents count it by their own speed and by the run time that the Assign names. On an upstream three times as slow, or off the rack, a stop at half of the run time came 100 ms later than assumed, and the job was late.

Change: the latest stop counts by the same run time as at the agent.

Result: TestLatestStopFollowsTheUpstream failed for a slow upstream and for one off the rack before and passes, as do the other tests of broker.

--- a/internal/broker/preempt.go
+++ b/internal/broker/preempt.go
@@ -20,7 +20,8 @@
 	if !s.On || j.cutShort || j.sub.Queue.Priority <= 0 || t.trial != wire.TrialNone {
 		return false
 	}
-	return now+wait+s.LatestRestart(t.expected) <= j.arrived+j.slack()
+	expected := time.Duration(float64(t.rack.RunTime(t.expected)) * t.agent.View.Slowdown())
+	return now+wait+s.LatestRestart(expected) <= j.arrived+j.slack()
 }
 
 // noteCutShort handles the end of an attempt as far as preemption is concerned. The job of a
--- a/internal/broker/preempt_test.go
+++ b/internal/broker/preempt_test.go
@@ -99,3 +99,31 @@
 		t.Error("the run after the death of an agent may yield")
 	}
 }
+
+// Guards against a run that may yield although its job could not restart in time if it is stopped
+// as late as agents may do so: that is a share of the time that it takes on its upstream, which
+// may be slow or off the task's rack.
+func TestLatestStopFollowsTheUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		slowness uint32
+		rack     string
+		want     bool
+	}{"healthy": {100, "", true}, "slow": {300, "", false}, "off the rack": {100, "elsewhere", false}} {
+		g := newRig(t, "a")
+		g.b.settings.Preemption = preemption.DefaultSettings(20 * time.Millisecond)
+		g.b.settings.Preemption.On, g.b.settings.Preemption.MaxProgress = true, 0.5
+		g.b.settings.FarRackFactor = 3
+		g.setRacks(g.b.settings.Locality, 3)
+		l := load(10_000)
+		l.Slowness = c.slowness
+		g.heartbeat("a", l)
+		patient := *queue
+		patient.Stretch, patient.LatencyTarget = 2, 108*time.Millisecond
+		// The slack is 200 ms. A stop at half of the run time leaves 90 ms, or -10 ms if that
+		// takes three times as long.
+		g.b.Submit(g.now, Submission{ID: "j1", Queue: &patient, Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond, PreferredRack: c.rack}}}, 1)
+		if got := g.onlyAssign().message.MayYield; got != c.want {
+			t.Errorf("%s: the run may yield: %v, want %v", name, got, c.want)
+		}
+	}
+}
