Stop no run whose job can no longer restart in time

Cause: an entry sets MayYield for the wait that it predicts. A run that had waited longer was still stopped: with 90 ms of slack left at its assignment, one was stopped after 10 ms although its stop (50 ms) and its restart (40 ms) end after that.

Change: the agent stops a run only if its task can restart by the time that SlackMS names, after the longest stop. The runs of the existing tests name a slack, as those do that an entry allows to yield; without one they could not restart in time.

Result: TestRunThatStartedLateIsNotPreempted failed before and passes, as do the other tests of runner and preemption.

--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -129,6 +129,12 @@
 	return time.Duration(s.MaxProgress*float64(expected)) + s.MaxStopTime + restartTime
 }
 
+// CanRestart reports whether a task that has to start by a time can do so if its run is stopped
+// now.
+func (s *Settings) CanRestart(now, startBy time.Duration) bool {
+	return now+s.MaxStopTime+restartTime <= startBy
+}
+
 // yields reports whether the run may be stopped for work of the given priority.
 func (r *Run) yields(now time.Duration, priority int, s *Settings) bool {
 	return r.MayYield && r.Priority > priority &&
--- a/internal/runner/preempt.go
+++ b/internal/runner/preempt.go
@@ -140,8 +140,10 @@
 				Priority: a.assign.Priority, CPU: a.assign.CPU, MemMB: a.assign.MemMB,
 				StartedAt: a.startSentAt, Expected: r.preempt.expectedHere(a),
 				// A run that may crash its upstream is evidence, and the stop of a start
-				// without an answer takes long.
-				MayYield: a.assign.MayYield && a.phase == phaseRunning && a.assign.Trial == wire.TrialNone,
+				// without an answer takes long. The entry has allowed the stop for the wait
+				// that it predicted; the run may have started later.
+				MayYield: a.assign.MayYield && a.phase == phaseRunning && a.assign.Trial == wire.TrialNone &&
+					r.settings.Preemption.CanRestart(now, a.dueAt),
 			})
 		}
 	}
--- a/internal/runner/preempt_test.go
+++ b/internal/runner/preempt_test.go
@@ -16,7 +16,7 @@
 	r.settings.Preemption = preemption.DefaultSettings(50 * time.Millisecond)
 	r.settings.Preemption.On = on
 	assign(r, begin, entryA, "long", func(m *wire.Assign) {
-		m.CPU, m.ExpectedMS, m.Priority, m.MayYield = 9000, 900, 2, true
+		m.CPU, m.ExpectedMS, m.Priority, m.MayYield, m.SlackMS = 9000, 900, 2, true, 1000
 		if change != nil {
 			change(m)
 		}
@@ -110,7 +110,7 @@
 // and against a run that ends by itself before its stop and still counts as thrown away.
 func TestOneStopPerUrgentAttempt(t *testing.T) {
 	r := newPreempting(t, true, func(m *wire.Assign) { m.CPU = 5000 })
-	assign(r, begin, entryA, "long2", func(m *wire.Assign) { m.CPU, m.ExpectedMS, m.Priority, m.MayYield = 5000, 900, 2, true })
+	assign(r, begin, entryA, "long2", func(m *wire.Assign) { m.CPU, m.ExpectedMS, m.Priority, m.MayYield, m.SlackMS = 5000, 900, 2, true, 1000 })
 	r.Started(begin, attemptOf("long2", 1), StartAnswer{Outcome: StartAccepted})
 	r.TakeEffects()
 	assignUrgent(r, nil)
@@ -149,3 +149,22 @@
 		t.Errorf("%d stops for a present entry, want 1", n)
 	}
 }
+
+// Guards against the stop of a run whose job can no longer restart in time: its entry had allowed
+// it for the predicted wait, and it has waited longer.
+func TestRunThatStartedLateIsNotPreempted(t *testing.T) {
+	for slackMS, stops := range map[int]int{90: 0, 400: 1} {
+		r := newReady(t)
+		r.settings.Preemption = preemption.DefaultSettings(50 * time.Millisecond)
+		r.settings.Preemption.On = true
+		assign(r, begin, entryA, "long", func(m *wire.Assign) {
+			m.CPU, m.ExpectedMS, m.Priority, m.MayYield, m.SlackMS = 9000, 900, 2, true, slackMS
+		})
+		r.Started(begin, attemptOf("long", 1), StartAnswer{Outcome: StartAccepted})
+		r.TakeEffects()
+		assignUrgent(r, nil)
+		if n := len(effects[StopRun](r)); n != stops {
+			t.Errorf("%d ms of slack: %d stops, want %d", slackMS, n, stops)
+		}
+	}
+}
