Expect no preemption for the last level of priorities

Cause: forecasts know four levels of priority, and all priorities from 3 on share the last. For work of priority 5 behind a run of priority 5, the forecast was the 50 ms of a stop, as priority 3 would get, but a run does not yield to its own priority.

Change: the forecast for the last level counts on no stop.

--- a/internal/runner/forecast_faults_test.go
+++ b/internal/runner/forecast_faults_test.go
@@ -72,3 +72,14 @@
 		t.Errorf("waits of %v ms at an idle upstream", l.WaitMS)
 	}
 }
+
+// Guards against forecasts that count on a stop that would not happen: all priorities from the
+// last level on share it, and a run does not yield to work of its own priority.
+func TestLastLevelExpectsNoPreemption(t *testing.T) {
+	r := newPreempting(t, true, func(m *wire.Assign) { m.Priority = wire.PriorityLevels + 1 })
+	now := begin + 10*time.Millisecond
+	l := r.Load(now, entryA)
+	if l.WaitMS[0] != 50 || l.WaitMS[wire.PriorityLevels-1] < 100 {
+		t.Errorf("waits of %v ms, want that of a stop for priority 0 and that of a run for the last level", l.WaitMS)
+	}
+}
--- a/internal/runner/preempt.go
+++ b/internal/runner/preempt.go
@@ -105,7 +105,8 @@
 // come free by itself.
 func (r *Runner) waitByPreemption(now time.Duration, priority, lacking int, wait time.Duration) (time.Duration, bool) {
 	s := &r.settings.Preemption
-	if !s.On || lacking <= 0 || wait <= s.MaxStopTime || r.health.suspect || r.cold.at(now) {
+	// The last level holds several priorities, which may be those of the runs as well.
+	if !s.On || priority == wire.PriorityLevels-1 || lacking <= 0 || wait <= s.MaxStopTime || r.health.suspect || r.cold.at(now) {
 		return 0, false
 	}
 	r.preparePreemption(now)
