Share the room among the held tasks of an explained job

Cause: the explanation of a waiting job chose for each held task as if it was the only one. It named one agent for two tasks where only one fits; the decision places the second elsewhere.

Change: a held task that would be placed takes its capacity on the explanation's copies, as the tasks of a new job do. The limit of tasks per upstream still counts only placed tasks.

Result: TestExplanationOfHeldTasksSharesTheRoom failed before and passes, as do the other tests of broker.

--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -166,6 +166,11 @@
 	case !t.unplaced:
 		v = explain.Verdict{Action: explain.Verify, Reason: reasonOverload}
 	}
+	if v.Action == explain.Place {
+		d := t.demand()
+		d.Expected = rack.RunTime(t.expected)
+		p.agent.View.Reserve(x.now, d)
+	}
 	o.Decision, o.Reason = string(v.Action), v.Reason
 	v.Show(&x.Explanation)
 	return o
--- a/internal/broker/explain_faults_test.go
+++ b/internal/broker/explain_faults_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // Guards against an explanation of a held task that rests on what was known of off-rack run times
@@ -32,3 +33,31 @@
 		t.Error("the explanation has changed the task")
 	}
 }
+
+// Guards against an explanation that gives several held tasks the room of one.
+func TestExplanationOfHeldTasksSharesTheRoom(t *testing.T) {
+	g := newRig(t, "a", "b")
+	g.b.Tick(g.now)
+	for _, h := range []string{"a", "b"} {
+		l := load(10_000)
+		l.Draining = true
+		g.heartbeat(h, l)
+	}
+	g.b.Submit(g.now, Submission{ID: "j1", Queue: queue, Tasks: []TaskSpec{{CPU: 6000, MemMB: 10}, {CPU: 6000, MemMB: 10}}}, 1)
+	g.takeEffects()
+	for _, h := range []string{"a", "b"} {
+		g.b.agents[h].View.Report(load(10_000))
+	}
+	x, _ := g.b.ExplainJob(g.now, "j1", 0, 10)
+	g.b.placeUnplaced(g.now)
+	placed := map[string]int{}
+	for _, m := range messages[wire.Assign](g.takeEffects()) {
+		placed[m.agent.Host]++
+	}
+	if len(placed) != 2 {
+		t.Fatalf("placed %v, want one task on each", placed)
+	}
+	if x.Tasks[0].Choice == x.Tasks[1].Choice {
+		t.Errorf("both tasks are explained on %s, which has room for one", x.Tasks[0].Choice)
+	}
+}
