Count only the agents that are asked for new reports in an explanation

Cause: before a refusal on old reports, at most 24 agents are asked for new ones; the explanation counted all agents with old reports, 250 of 250 in the test.

Change: the explanation stops at the same bound.

Result: TestExplanationCountsTheQueries failed with 250 against 24 before and passes, as do the other tests of broker.

--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -82,7 +82,7 @@
 	x.TasksOmitted = tasks - len(x.Tasks)
 	v := b.judge(now, j, placements)
 	for _, a := range b.agentList {
-		if v.Action == explain.Verify && b.reportOutdated(now, a, j) {
+		if v.Action == explain.Verify && x.OutdatedReports < maxQueries && b.reportOutdated(now, a, j) {
 			x.OutdatedReports++
 		}
 	}
--- a/internal/broker/explain_faults_test.go
+++ b/internal/broker/explain_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/locality"
@@ -61,3 +62,28 @@
 		t.Errorf("both tasks are explained on %s, which has room for one", x.Tasks[0].Choice)
 	}
 }
+
+// Guards against an explanation that counts more agents that would be asked for new reports than
+// would be.
+func TestExplanationCountsTheQueries(t *testing.T) {
+	b, now := newWide(t)
+	for _, a := range b.agentList {
+		l := a.View.Load
+		l.FreeCPU, l.QueuedWork[0] = 0, 5000
+		a.View.Report(l)
+	}
+	now += reportMaxAge + time.Millisecond
+	sub := shape(1, TaskSpec{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond})
+	x := b.Explain(now, sub, 0, 10)
+	sub.ID = "wide"
+	b.Submit(now, sub, 1)
+	asked := 0
+	for _, m := range messages[wire.EntryBeat](b.TakeEffects()) {
+		if m.message.ReportNow {
+			asked++
+		}
+	}
+	if asked == 0 || x.OutdatedReports != asked {
+		t.Errorf("%d agents are asked, explained are %d (%s %s)", asked, x.OutdatedReports, x.Decision, x.Reason)
+	}
+}
