--- a/internal/runner/preempt.go
+++ b/internal/runner/preempt.go
@@ -105,7 +105,8 @@
 // come free by itself.
 func (r *Runner) waitByPreemption(now time.Duration, priority, lacking int, wait time.Duration) (time.Duration, bool) {
 	s := &r.settings.Preemption
-	if !s.On || lacking <= 0 || wait <= s.MaxStopTime || r.health.suspect || r.cold.at(now) {
+	// The last level holds several priorities, which may be those of the runs as well.
+	if !s.On || priority == wire.PriorityLevels-1 || lacking <= 0 || wait <= s.MaxStopTime || r.health.suspect || r.cold.at(now) {
 		return 0, false
 	}
 	r.preparePreemption(now)
@@ -140,8 +141,10 @@
 				Priority: a.assign.Priority, CPU: a.assign.CPU, MemMB: a.assign.MemMB,
 				StartedAt: a.startSentAt, Expected: r.preempt.expectedHere(a),
 				// A run that may crash its upstream is evidence, and the stop of a start
-				// without an answer takes long.
-				MayYield: a.assign.MayYield && a.phase == phaseRunning && a.assign.Trial == wire.TrialNone,
+				// without an answer takes long. The entry has allowed the stop for the wait
+				// that it predicted; the run may have started later.
+				MayYield: a.assign.MayYield && a.phase == phaseRunning && a.assign.Trial == wire.TrialNone &&
+					r.settings.Preemption.CanRestart(now, a.dueAt),
 			})
 		}
 	}
