Keep the standard output of a rig's processes in their logs

Cause: the programs of the hosting platform log to standard output, of which the rig kept nothing but the first line. A soak that failed left empty logs. Change: the rest goes into the log of the process as well.

--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -44,15 +44,16 @@
 	if err != nil {
 		return fault.ChildFailed.Wrap(err, "open log of %s", p.Name)
 	}
-	defer log.Close()
 	cmd.Stderr = log
 	stdout, err := cmd.StdoutPipe()
 	if err != nil {
+		log.Close()
 		return fault.ChildFailed.Wrap(err, "open output of %s", p.Name)
 	}
 	started := make(chan error, 1)
 	p.rig.startRequests <- func() { started <- cmd.Start() }
 	if err := <-started; err != nil {
+		log.Close()
 		return fault.ChildFailed.Wrap(err, "start %s", p.Name)
 	}
 	ended := make(chan struct{})
@@ -62,11 +63,18 @@
 	first := make(chan struct{})
 	go func() {
 		defer close(ended)
+		defer log.Close()
 		out := bufio.NewReader(stdout)
-		if _, err := out.ReadString('\n'); err == nil {
+		line, err := out.ReadString('\n')
+		// The programs of the hosting platform log to standard output. A log that cannot
+		// be written must not block the process.
+		_, _ = log.WriteString(line)
+		if err == nil {
 			close(first)
 		}
-		_, _ = io.Copy(io.Discard, out)
+		if _, err := io.Copy(log, out); err != nil {
+			_, _ = io.Copy(io.Discard, out)
+		}
 		// The exit status is ignored: the rig's user ends processes on purpose.
 		_ = cmd.Wait()
 	}()
