Test the pauses between an agent's queries for evacuation requests

docs/design/evacuation.md states pauses of 0.35, 0.7, 1.4 and then 2 s. If its first query is lost, the answer to the second may come after EvacuateWithin. The earlier test bounded only the first query and the number of queries, both of which are still checked.

--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -97,23 +97,27 @@
 func TestAgentWithOldKnowledgeAsksTheStore(t *testing.T) {
 	r := newEvacuable(t)
 	evacuate(r, begin, 3)
-	asked := 0
-	var first time.Duration
-	for now := begin; now < begin+2*evacuateWithin; now += 20 * time.Millisecond {
+	var asked []time.Duration
+	const tick = 20 * time.Millisecond
+	for now := begin; now < begin+2*evacuateWithin; now += tick {
 		r.Announce(now, Announcement{UpstreamID: incarnation, Service: "s", CPU: 10_000, MemMB: 1000, Seq: uint64(now)})
 		r.Tick(now)
-		if n := len(effects[QueryEvacuations](r)); n > 0 {
-			asked += n
-			if first == 0 {
-				first = now - begin
-			}
+		if len(effects[QueryEvacuations](r)) > 0 {
+			asked = append(asked, now-begin)
 		}
 	}
-	if first == 0 || first > evacuateWithin-500*time.Millisecond {
-		t.Errorf("asks first after %v, want well before %v", first, evacuateWithin)
+	if len(asked) == 0 || asked[0] > evacuateWithin-500*time.Millisecond {
+		t.Fatalf("asks after %v, want the first time well before %v", asked, evacuateWithin)
+	}
+	// The pauses of docs/design/evacuation.md. After the first one there is still time for an
+	// answer if the first query is lost.
+	for i, pause := range []int{350, 700, 1400, 2000} {
+		if len(asked) < i+2 || asked[i+1]-asked[i] > time.Duration(pause)*time.Millisecond+tick {
+			t.Errorf("asks after %v, want pause %d of %d ms at most", asked, i+1, pause)
+		}
 	}
-	if asked < 3 || asked > 8 {
-		t.Errorf("asks %d times in %v without an answer", asked, 2*evacuateWithin)
+	if len(asked) > 8 {
+		t.Errorf("asks %d times in %v without an answer", len(asked), 2*evacuateWithin)
 	}
 	// While nobody answers, the service goes on.
 	if l := r.Load(begin+2*evacuateWithin, entryA); !l.Ready {
