--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -90,7 +90,7 @@
 	if age < r.evacuationQueryAge() {
 		return
 	}
-	pause := min(evacuationQueryRetry<<min(r.evacuationQueries, 8), maxEvacuationQueryRetry)
+	pause := min(evacuationQueryRetry<<min(max(r.evacuationQueries-1, 0), 8), maxEvacuationQueryRetry)
 	if r.evacuationQueries > 0 && now-r.evacuationQueriedAt < pause {
 		return
 	}
