Test the age of knowledge that is older than the process

The test fails: the view of an entry that has been cut off from the table for 20 s counts as 2 s old in a process that runs for 2 s, so an agent that was restarted asks the table up to 15 s later than it should. Agents of the hosting platform are not concerned: their clock starts at one hour.

--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a restarted process that takes what it is told for younger than it is, and
+// so asks the store too late: the view of a sender that is cut off from the store may be
+// older than the process.
+func TestViewOlderThanTheProcessIsOld(t *testing.T) {
+	var tr Tracker
+	tr.Apply(2*time.Second, FromView(time.Second, &wire.Evacuations{Version: 3, AgeMS: 20_000}))
+	if age := tr.Age(2 * time.Second); age != 21*time.Second {
+		t.Errorf("age %v, want 21s", age)
+	}
+	tr.Apply(3*time.Second, FromView(time.Second, &wire.Evacuations{Version: 3, AgeMS: 30_000}))
+	if age := tr.Age(3 * time.Second); age != 22*time.Second {
+		t.Errorf("age %v after an older view, want 22s", age)
+	}
+}
+
 // Guards against knowledge that is lost on its way from an entry to an agent.
 func TestViewHoldsAllRequests(t *testing.T) {
 	var entry, agent Tracker
