Keep the age of knowledge that is older than the process

Cause: Tracker took the later of time zero and the time of its first update, so the age of the first update was at most that of the process. Change: only later updates are compared with what is known. Result: TestViewOlderThanTheProcessIsOld and the tests of internal/runner, ledger, owner and entry pass.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -91,9 +91,12 @@
 	if t.known && u.Version < t.version {
 		return nil
 	}
-	t.known = true
-	t.version = u.Version
-	t.asOf = max(t.asOf, min(u.AsOf, now))
+	asOf := min(u.AsOf, now)
+	if t.known {
+		asOf = max(t.asOf, asOf)
+	}
+	// The first update may be older than the process, so asOf may be negative.
+	t.known, t.version, t.asOf = true, u.Version, asOf
 	var effective []Change
 	named := map[string]bool{}
 	for _, c := range u.Changes {
