--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -140,3 +140,48 @@
 		}
 	}
 }
+
+// Guards against an agent that was paused and starts what it was sent before, or knows
+// nothing of a request that was made meanwhile.
+func TestPausedAgentStartsNothingOnOldOrders(t *testing.T) {
+	r := newEvacuable(t)
+	evacuate(r, begin, 3)
+	for _, job := range []string{"runs", "runs2", "waits"} {
+		assign(r, begin, entryA, job, nil)
+	}
+	r.TakeEffects()
+	now := begin + 10*time.Second
+	r.Announce(now, Announcement{UpstreamID: incarnation, Service: "s", CPU: 40_000, MemMB: 1000, Seq: uint64(now)})
+	assign(r, now, entryA, "arrives", func(m *wire.Assign) { m.EchoMS = uint64(begin / time.Millisecond) })
+	r.Tick(now)
+	got := r.TakeEffects()
+	asked := false
+	for _, e := range got {
+		switch e := e.(type) {
+		case StartRun:
+			t.Errorf("%v is started after the pause", e.Attempt)
+		case QueryEvacuations:
+			asked = true
+		}
+	}
+	if !asked {
+		t.Error("the store is not asked")
+	}
+}
+
+// Guards against a restarted agent that takes a withdrawn request from an entry that is cut
+// off from the store for recent, and stays out of use.
+func TestRestartedAgentDoubtsAnOldView(t *testing.T) {
+	r := newEvacuable(t)
+	view := &wire.Evacuations{Version: 3, AgeMS: 6000, Requests: []wire.Evacuation{{DataCentre: "dc", Version: 3}}}
+	r.Evacuations(begin, evacuation.FromView(begin, view))
+	r.Tick(begin + 20*time.Millisecond)
+	if len(effects[QueryEvacuations](r)) != 1 {
+		t.Fatal("the store is not asked at once")
+	}
+	evacuate(r, begin+25*time.Millisecond, 4)
+	r.Evacuations(begin+30*time.Millisecond, evacuation.FromView(begin+30*time.Millisecond, view))
+	if l := r.Load(begin+30*time.Millisecond, entryA); !l.Ready {
+		t.Error("the old view brings the withdrawn request back")
+	}
+}
