Send agents malformed messages about evacuations in the tests

Change: half of the confirmations among the extreme messages carry requests with extreme versions and ages, empty, unknown and known data centres, and the agent that gets them has evacuations in its settings.

--- a/internal/leased/malformed_test.go
+++ b/internal/leased/malformed_test.go
@@ -51,7 +51,15 @@
 	case 1:
 		return &wire.RunReport{Attempt: extremeAttempt(rng), State: wire.RunState(rng.Intn(256)), RanMS: uint32(big[rng.Intn(4)]), Load: extremeLoad(rng)}
 	case 2:
-		return &wire.EntryBeat{EchoMS: big[rng.Intn(4)]}
+		m := &wire.EntryBeat{EchoMS: big[rng.Intn(4)]}
+		if rng.Intn(2) == 0 {
+			m.Evacuations = &wire.Evacuations{Version: big[rng.Intn(4)], AgeMS: []uint32{0, 1, math.MaxUint32}[rng.Intn(3)]}
+			for range rng.Intn(3) {
+				m.Evacuations.Requests = append(m.Evacuations.Requests,
+					wire.Evacuation{DataCentre: []string{"", "dc", "nowhere"}[rng.Intn(3)], Version: big[rng.Intn(4)]})
+			}
+		}
+		return m
 	case 3:
 		return &wire.Assign{Attempt: extremeAttempt(rng), Service: "s", CPU: int(big[rng.Intn(4)]) * (1 - 2*rng.Intn(2)), MemMB: -rng.Intn(2),
 			Priority: []int{-1, 0, math.MaxInt32, math.MinInt64}[rng.Intn(4)], ExpectedMS: uint32(big[rng.Intn(4)]),
@@ -141,7 +149,13 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	a := newTestAgent(t, &feed{}, listener.Addr().String())
+	run := runner.DefaultSettings(1300*time.Millisecond, time.Second)
+	run.DataCentre, run.EvacuateWithin = "dc", 5*time.Second
+	a := StartAgent(AgentOptions{
+		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"}, Runner: run, Store: &feed{}, Seeds: []string{listener.Addr().String()},
+		Evacuations: testEvacuations, Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(a.Stop)
 	a.Announce(runner.Announcement{UpstreamID: runner.UpstreamID{ID: "u", StartMS: 7}, Service: "s", CPU: 10_000, MemMB: 100, Seq: 1}, 1000)
 	rng := rand.New(rand.NewSource(2))
 	for range 40 {
