--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -97,23 +97,27 @@
 func TestAgentWithOldKnowledgeAsksTheStore(t *testing.T) {
 	r := newEvacuable(t)
 	evacuate(r, begin, 3)
-	asked := 0
-	var first time.Duration
-	for now := begin; now < begin+2*evacuateWithin; now += 20 * time.Millisecond {
+	var asked []time.Duration
+	const tick = 20 * time.Millisecond
+	for now := begin; now < begin+2*evacuateWithin; now += tick {
 		r.Announce(now, Announcement{UpstreamID: incarnation, Service: "s", CPU: 10_000, MemMB: 1000, Seq: uint64(now)})
 		r.Tick(now)
-		if n := len(effects[QueryEvacuations](r)); n > 0 {
-			asked += n
-			if first == 0 {
-				first = now - begin
-			}
+		if len(effects[QueryEvacuations](r)) > 0 {
+			asked = append(asked, now-begin)
 		}
 	}
-	if first == 0 || first > evacuateWithin-500*time.Millisecond {
-		t.Errorf("asks first after %v, want well before %v", first, evacuateWithin)
+	if len(asked) == 0 || asked[0] > evacuateWithin-500*time.Millisecond {
+		t.Fatalf("asks after %v, want the first time well before %v", asked, evacuateWithin)
+	}
+	// The pauses of docs/design/evacuation.md. After the first one there is still time for an
+	// answer if the first query is lost.
+	for i, pause := range []int{350, 700, 1400, 2000} {
+		if len(asked) < i+2 || asked[i+1]-asked[i] > time.Duration(pause)*time.Millisecond+tick {
+			t.Errorf("asks after %v, want pause %d of %d ms at most", asked, i+1, pause)
+		}
 	}
-	if asked < 3 || asked > 8 {
-		t.Errorf("asks %d times in %v without an answer", asked, 2*evacuateWithin)
+	if len(asked) > 8 {
+		t.Errorf("asks %d times in %v without an answer", len(asked), 2*evacuateWithin)
 	}
 	// While nobody answers, the service goes on.
 	if l := r.Load(begin+2*evacuateWithin, entryA); !l.Ready {
@@ -136,3 +140,48 @@
 		}
 	}
 }
+
+// Guards against an agent that was paused and starts what it was sent before, or knows
+// nothing of a request that was made meanwhile.
+func TestPausedAgentStartsNothingOnOldOrders(t *testing.T) {
+	r := newEvacuable(t)
+	evacuate(r, begin, 3)
+	for _, job := range []string{"runs", "runs2", "waits"} {
+		assign(r, begin, entryA, job, nil)
+	}
+	r.TakeEffects()
+	now := begin + 10*time.Second
+	r.Announce(now, Announcement{UpstreamID: incarnation, Service: "s", CPU: 40_000, MemMB: 1000, Seq: uint64(now)})
+	assign(r, now, entryA, "arrives", func(m *wire.Assign) { m.EchoMS = uint64(begin / time.Millisecond) })
+	r.Tick(now)
+	got := r.TakeEffects()
+	asked := false
+	for _, e := range got {
+		switch e := e.(type) {
+		case StartRun:
+			t.Errorf("%v is started after the pause", e.Attempt)
+		case QueryEvacuations:
+			asked = true
+		}
+	}
+	if !asked {
+		t.Error("the store is not asked")
+	}
+}
+
+// Guards against a restarted agent that takes a withdrawn request from an entry that is cut
+// off from the store for recent, and stays out of use.
+func TestRestartedAgentDoubtsAnOldView(t *testing.T) {
+	r := newEvacuable(t)
+	view := &wire.Evacuations{Version: 3, AgeMS: 6000, Requests: []wire.Evacuation{{DataCentre: "dc", Version: 3}}}
+	r.Evacuations(begin, evacuation.FromView(begin, view))
+	r.Tick(begin + 20*time.Millisecond)
+	if len(effects[QueryEvacuations](r)) != 1 {
+		t.Fatal("the store is not asked at once")
+	}
+	evacuate(r, begin+25*time.Millisecond, 4)
+	r.Evacuations(begin+30*time.Millisecond, evacuation.FromView(begin+30*time.Millisecond, view))
+	if l := r.Load(begin+30*time.Millisecond, entryA); !l.Ready {
+		t.Error("the old view brings the withdrawn request back")
+	}
+}
