Keep runs that outlast the cold of their upstream out of its health

Cause: what an upstream does while it is cold is no evidence about its health, which depends on whether it was cold when a run started. The announcement that it is warm erased until when it was cold, so all runs that had started cold and were still going on counted. After eight runs of 160 ms in place of 50, the upstream reported a slowness of 203.

Change: the announcement ends the cold now, and runs from before stay cold ones.

Result: TestRunsThatOutlastTheColdAreNoEvidence failed with 203 before and passes, as do the other tests of runner. A line of preempt_test.go is formatted.

--- a/internal/runner/cold.go
+++ b/internal/runner/cold.go
@@ -30,7 +30,8 @@
 // announced handles the time, announced by the upstream, for which it stays cold.
 func (c *coldState) announced(now, coldFor time.Duration) {
 	if coldFor <= 0 {
-		c.until, c.total = 0, 0
+		// Runs that started before now were slowed down.
+		c.until, c.total = min(c.until, now), 0
 		return
 	}
 	if now >= c.until {
--- a/internal/runner/cold_test.go
+++ b/internal/runner/cold_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 func announceCold(r *Runner, now, coldFor time.Duration, seq uint64) {
@@ -55,3 +57,37 @@
 		t.Errorf("warm again: slowness %d, stuck %v, cold for %d ms", l.Slowness, l.Stuck, l.ColdMS)
 	}
 }
+
+// Guards against runs that count against the health of an upstream because they end, or are still
+// going on, after the announcement that says that it is warm: they ran while it was cold.
+func TestRunsThatOutlastTheColdAreNoEvidence(t *testing.T) {
+	r := newReady(t)
+	announceCold(r, begin, 2*time.Second, 2)
+	now := begin + 1900*time.Millisecond
+	r.Confirm(entryA, now)
+	var running, ended []string
+	for i := range 8 {
+		job := fmt.Sprint("j", i)
+		assign(r, now, entryA, job, func(m *wire.Assign) { m.ExpectedMS = 50 })
+		r.Started(now, attemptOf(job, 1), StartAnswer{Outcome: StartAccepted})
+		if i%2 == 0 {
+			ended = append(ended, job)
+		} else {
+			running = append(running, job)
+		}
+	}
+	now = begin + 2050*time.Millisecond
+	announceCold(r, now, 0, 3)
+	list := RunList{RequestedAt: now, ClockMS: 501, StartMS: incarnation.StartMS}
+	for i, job := range ended {
+		list.Ended = append(list.Ended, EndedRun{Number: int64(i + 1), Attempt: attemptOf(job, 1), Kind: EndDone})
+	}
+	for _, job := range running {
+		list.Running = append(list.Running, attemptOf(job, 1))
+	}
+	now += 10 * time.Millisecond
+	r.ListReceived(now, list)
+	if l := r.Load(now, entryA); l.Slowness != healthySlowness || l.ColdMS != 0 {
+		t.Errorf("slowness %d after runs of 160 ms in place of 50 that were started cold, want %d", l.Slowness, healthySlowness)
+	}
+}
--- a/internal/runner/preempt_test.go
+++ b/internal/runner/preempt_test.go
@@ -110,7 +110,9 @@
 // and against a run that ends by itself before its stop and still counts as thrown away.
 func TestOneStopPerUrgentAttempt(t *testing.T) {
 	r := newPreempting(t, true, func(m *wire.Assign) { m.CPU = 5000 })
-	assign(r, begin, entryA, "long2", func(m *wire.Assign) { m.CPU, m.ExpectedMS, m.Priority, m.MayYield, m.SlackMS = 5000, 900, 2, true, 1000 })
+	assign(r, begin, entryA, "long2", func(m *wire.Assign) {
+		m.CPU, m.ExpectedMS, m.Priority, m.MayYield, m.SlackMS = 5000, 900, 2, true, 1000
+	})
 	r.Started(begin, attemptOf("long2", 1), StartAnswer{Outcome: StartAccepted})
 	r.TakeEffects()
 	assignUrgent(r, nil)
