Bound declared run times and queued work by what their fields can hold

Cause: the run time that a caller declares has no bound, but 32 bits in the Assign. One of 2^32+1 ms was sent as 1 ms and one of 2^43 ms as 0, so that the run counts at once as evidence of a stuck upstream. Queued work of 6 * 2^30 ms was reported as 2^31 ms.

Change: a declared time above an hour counts as an hour, as in explanations; queued work above its field is reported as the largest value.

--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/brokerapi"
 	"github.com/damasklb/damasklb/internal/invariant"
 	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/outcomes"
@@ -143,6 +144,7 @@
 func newJob(now time.Duration, sub Submission, stats *runtimes.Stats, racks *locality.Racks) *job {
 	j := &job{sub: sub, stats: stats, arrived: now, openTasks: len(sub.Tasks)}
 	for i, spec := range sub.Tasks {
+		spec.Estimate = min(spec.Estimate, brokerapi.MaxEstimate)
 		j.tasks = append(j.tasks, &task{job: j, index: i, spec: spec, expected: stats.Expected(spec.Estimate),
 			rack: racks.NewTask(sub.Queue.Name, locality.Key{Service: sub.Queue.Service, Rack: spec.PreferredRack}, spec.CPU)})
 	}
--- a/internal/broker/place_test.go
+++ b/internal/broker/place_test.go
@@ -73,3 +73,16 @@
 		t.Errorf("assigned %+v, want one task to each upstream", assigned)
 	}
 }
+
+// Guards against a declared run time that exceeds its field in the Assign: one of 2^32+1 ms was
+// sent as 1 ms, so that the run counted as overdue, and its upstream as stuck, at once.
+func TestLongDeclaredRunTimesStayLong(t *testing.T) {
+	for _, ms := range []int64{1<<32 + 1, 1 << 43} {
+		g := newRig(t, "a")
+		g.b.Submit(g.now, Submission{ID: "j1", Queue: queue, Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: time.Duration(ms) * time.Millisecond}}}, 1)
+		m := messages[wire.Assign](g.takeEffects())
+		if len(m) != 1 || time.Duration(m[0].message.ExpectedMS)*time.Millisecond < time.Hour || m[0].message.SlackMS < 0 {
+			t.Errorf("%d ms: assigned %+v, want an hour or more", ms, m)
+		}
+	}
+}
--- a/internal/brokerapi/submission.go
+++ b/internal/brokerapi/submission.go
@@ -20,6 +20,10 @@
 	MaxPerUpstream int
 }
 
+// MaxEstimate bounds the run time that a caller declares. Jobs on leased upstreams take seconds;
+// what is far above would exceed the fields of messages.
+const MaxEstimate = time.Hour
+
 // Submission is a job as a caller submits it.
 type Submission struct {
 	ID    string
--- a/internal/runner/forecast_faults_test.go
+++ b/internal/runner/forecast_faults_test.go
@@ -83,3 +83,14 @@
 		t.Errorf("waits of %v ms, want that of a stop for priority 0 and that of a run for the last level", l.WaitMS)
 	}
 }
+
+// Guards against queued work that exceeds its field and so seems to be little.
+func TestQueuedWorkStaysInItsField(t *testing.T) {
+	r := newReady(t)
+	for _, job := range []string{"1", "2", "3"} {
+		assign(r, begin, entryA, job, func(m *wire.Assign) { m.CPU, m.ExpectedMS = 10_000, 3<<30 })
+	}
+	if w := r.Load(begin, entryA).QueuedWork[0]; w != math.MaxUint32 {
+		t.Errorf("%d ms of queued work, want the largest value", w)
+	}
+}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -2,7 +2,7 @@
 
 import (
 	"container/heap"
-	"time"
+	"math"
 
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -80,7 +80,7 @@
 		return out
 	}
 	for i, w := range sum {
-		out[i] = uint32(time.Duration(w/cpu) * time.Millisecond / time.Millisecond)
+		out[i] = uint32(min(w/cpu, math.MaxUint32))
 	}
 	return out
 }
