Count the time without an ended run only while runs could end

Cause: overdue runs of three jobs show a stuck upstream once no run has ended for 250 ms. That time included the time in which nothing ran, so after an idle second, or after the start of the agent, three jobs of 20 ms each marked the upstream as stuck after 60 ms. It then gets one task a second.

Change: the time counts from the start of the first overdue run, if none has ended since.

The other tests of runner pass.

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -233,6 +233,8 @@
 // since they became overdue.
 func (r *Runner) stuck(now time.Duration) bool {
 	stuck, late := map[string]bool{}, map[string]bool{}
+	// Without a run, none could end.
+	withoutEndSince := now
 	for _, a := range r.active {
 		if !r.countsForHealth(now, a) {
 			continue
@@ -244,9 +246,11 @@
 		}
 		if overdue(age, a.assign.ExpectedMS) {
 			late[a.id.Task.Job] = true
+			withoutEndSince = min(withoutEndSince, a.startSentAt)
 		}
 	}
-	return len(stuck) >= stuckJobs || (len(late) >= overdueJobs && now-r.health.lastEndAt > overdueWithoutEnd)
+	withoutEndSince = max(withoutEndSince, r.health.lastEndAt)
+	return len(stuck) >= stuckJobs || (len(late) >= overdueJobs && now-withoutEndSince > overdueWithoutEnd)
 }
 
 // raiseSuspicion marks the upstream as suspected, or delays the next probe.
