Keep the learned speed of a host over a restart of its upstream

Cause: the speed of a type of host does not change, as health.go says, and is kept when a suspicion ends, but a new incarnation of the upstream set it back to 1: 128 became 100, and some two hundred runs have to end before entries know it again.

Change: a new incarnation keeps the speed and loses the rest of the evidence.

Result: TestSpeedOutlastsAnIncarnation failed with 100 against 128 before and passes, as do the other tests of runner. The effect on a deployment was not measured.

--- a/internal/runner/health_test.go
+++ b/internal/runner/health_test.go
@@ -26,3 +26,20 @@
 		}
 	}
 }
+
+// Guards against an agent that forgets the speed of its type of host when the upstream restarts:
+// some two hundred runs had to end before entries knew it again.
+func TestSpeedOutlastsAnIncarnation(t *testing.T) {
+	r := newReady(t)
+	now := begin
+	for i := range 300 {
+		a := &attempt{id: attemptOf(fmt.Sprint("a", i), 1), startSentAt: now, assign: wire.Assign{ExpectedMS: 100}}
+		now += 10 * time.Millisecond
+		r.health.addRun(now, a, EndDone, 130*time.Millisecond)
+	}
+	before := r.slowness(now)
+	r.Announce(now, Announcement{UpstreamID: UpstreamID{ID: "u", StartMS: incarnation.StartMS + 1}, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 1})
+	if after := r.slowness(now); before < 120 || after != before {
+		t.Errorf("slowness %d after a restart of the upstream, %d before", after, before)
+	}
+}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -315,7 +315,7 @@
 	// A higher token keeps the new incarnation, whose clock has started anew, from
 	// carrying out commands that were made for the old one.
 	r.lease = leaseState{token: r.lease.token + 1, renewedAt: r.lease.renewedAt, ignoreBefore: now}
-	r.health = health{}
+	r.health = health{speedWeight: r.health.speedWeight, speedLogSum: r.health.speedLogSum}
 }
 
 // reconcileFirst handles the first list of an incarnation: attempts that it lacks have
