--- a/internal/leasetest/evacuation_test.go
+++ b/internal/leasetest/evacuation_test.go
@@ -134,9 +134,10 @@
 }
 
 func (p *storePath) note(w *world, paused bool, startedAt time.Duration) {
-	if paused || w.now < p.cutUntil || startedAt == w.now {
+	if paused || w.now < p.cutUntil {
 		p.disturbedAt = w.now
 	}
+	p.disturbedAt = max(p.disturbedAt, startedAt)
 }
 
 func (s *evacuationStore) step() {
