--- a/internal/runner/forecast.go
+++ b/internal/runner/forecast.go
@@ -65,8 +65,10 @@
 		// A rate of 0 would say that there is no forecast, and a wait of 0 that a task starts at
 		// once.
 		l.ReleaseRate[i] = uint32(max(min(released*share, math.MaxUint32), 1))
-		wholeMS := math.Ceil(float64(max(wait, memoryWait)) / float64(time.Millisecond) / share)
-		l.WaitMS[i] = uint16(min(wholeMS, math.MaxUint16))
+		l.WaitMS[i] = uint16(min(float64(max(wait, memoryWait)/time.Millisecond)/share, math.MaxUint16))
+		if l.WaitMS[i] == 0 && max(wait, memoryWait) > 0 {
+			l.WaitMS[i] = 1
+		}
 		if by, ok := r.waitByPreemption(now, i, cores.need, wait); ok && memoryWait == 0 {
 			l.WaitMS[i] = uint16(min(by/time.Millisecond, math.MaxUint16))
 		}
