Decide admission under scarcity

Cause: in a burst of long work of the last priority, a job is refused only for its own predicted wait, in the order of arrival, and more urgent work waits behind what was admitted.

Change: package scarcity measures the headroom of a service: what is free for whole tasks, less what waits, as all agents report it. While it is short, a share of the jobs of each priority but the most urgent is admitted, the last priority cut first, none below a floor of 0.4. Shares count jobs, so wide and narrow ones are alike. A job above its share is refused at its arrival with the reason "scarcity". Nothing happens with queues of one priority, in the first 500 ms of an entry, without reports for 500 ms, or with Settings.Off.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -79,6 +79,7 @@
 	}
 	switch v.Action {
 	case explain.Place:
+		b.countAdmission(j)
 		for _, p := range placements {
 			if p.hold {
 				b.hold(now, p.task)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -17,6 +17,7 @@
 	"github.com/damasklb/damasklb/internal/poison"
 	"github.com/damasklb/damasklb/internal/preemption"
 	"github.com/damasklb/damasklb/internal/runtimes"
+	"github.com/damasklb/damasklb/internal/scarcity"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -51,6 +52,8 @@
 	Preemption preemption.Settings
 	// Locality bounds the wait of tasks for their preferred rack.
 	Locality locality.Settings
+	// Scarcity are the limits of admission while capacity is scarce.
+	Scarcity scarcity.Settings
 }
 
 // DefaultSettings returns settings that fit agents whose runs end within
@@ -66,6 +69,7 @@
 		AnswerRetention:  6 * time.Second,
 		ResumeDelay:      30 * time.Millisecond,
 		Locality:         locality.Settings{MaxWait: locality.DefaultMaxWait},
+		Scarcity:         scarcity.DefaultSettings(),
 	}
 }
 
@@ -128,6 +132,8 @@
 	// unplacedTriedAt is when the broker last tried to place them.
 	unplacedTriedAt time.Duration
 
+	// scarcity decides, by service, which jobs are refused while capacity is scarce.
+	scarcity map[string]*scarcity.Controller
 	// racks decides for the tasks that prefer a rack.
 	racks *locality.Racks
 
@@ -171,6 +177,7 @@
 		stats:    map[string]*runtimes.Stats{},
 		poison:   poison.New(),
 		cautions: map[string]poison.Caution{},
+		scarcity: map[string]*scarcity.Controller{},
 		racks:    locality.NewRacks(settings.Locality, settings.FarRackFactor),
 	}
 }
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -129,6 +129,7 @@
 	if b.giveUpSuspect(now, j) {
 		return
 	}
+	b.countArrival(now, j)
 	if refusal, refused := b.admit(now, j); refused {
 		delete(b.jobs, sub.ID)
 		if j.started {
--- a/internal/broker/judge.go
+++ b/internal/broker/judge.go
@@ -13,6 +13,7 @@
 	reasonLeaving    = "entry-leaving"
 	reasonOverload   = "overload"
 	reasonNoUpstream = "no-upstream"
+	reasonScarcity   = "scarcity"
 	// The reasons for holding a job.
 	reasonResuming       = "process-resumed"
 	reasonAgentsExpected = "agents-expected"
@@ -37,6 +38,9 @@
 	if b.suspended(now) {
 		return explain.HoldFor(reasonResuming)
 	}
+	if v, refused := b.judgeScarcity(now, j); refused {
+		return v
+	}
 	v := explain.Verdict{Action: explain.Place, Limit: time.Duration(maxWaitShare * float64(j.slack()))}
 	for _, p := range placements {
 		if p.agent == nil && !p.hold {
--- /dev/null
+++ b/internal/broker/scarcity.go
@@ -0,0 +1,55 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/damasklb/damasklb/internal/explain"
+	"github.com/damasklb/damasklb/internal/scarcity"
+)
+
+// snapshotInterval is the time between two sums over the agents' reports. It is a small part
+// of the age of reports.
+const snapshotInterval = 10 * time.Millisecond
+
+func (j *job) demand() scarcity.Job {
+	return scarcity.Job{Queue: j.sub.Queue.Name, Priority: j.sub.Queue.Priority, Expected: j.longestExpected()}
+}
+
+// countArrival handles the arrival of a job as far as admission under scarcity is concerned.
+func (b *Broker) countArrival(now time.Duration, j *job) {
+	service := j.sub.Queue.Service
+	c := b.scarcity[service]
+	if c == nil {
+		c = scarcity.New(b.settings.Scarcity)
+		b.scarcity[service] = c
+	}
+	if now-c.ObservedAt() >= snapshotInterval {
+		var s scarcity.Snapshot
+		for _, a := range b.agentList {
+			if l := &a.view.Load; l.Service == service && !l.Stuck && a.usable(now, &b.settings) {
+				free, _, _ := a.view.Free(0)
+				s.Add(l, free)
+			}
+		}
+		c.Observe(now, s)
+	}
+	c.Arrived(now, j.demand())
+}
+
+// judgeScarcity decides whether a job is refused because more urgent work needs the capacity.
+// Jobs that were asked about before, and those that may have run, have been admitted.
+func (b *Broker) judgeScarcity(now time.Duration, j *job) (explain.Verdict, bool) {
+	c := b.scarcity[j.sub.Queue.Service]
+	if c == nil || j.verified || j.started {
+		return explain.Verdict{}, false
+	}
+	s := c.Judge(now, j.demand())
+	return explain.RefuseFor(reasonScarcity, s.RetryAfter), s.Refuse
+}
+
+// countAdmission handles the admission of a job.
+func (b *Broker) countAdmission(j *job) {
+	if c := b.scarcity[j.sub.Queue.Service]; c != nil {
+		c.Admitted(j.sub.Queue.Name)
+	}
+}
--- a/internal/leasetest/contention_test.go
+++ b/internal/leasetest/contention_test.go
@@ -30,6 +30,8 @@
 	// entryShares are the shares of the callers that reach each entry.
 	entryShares []float64
 	seed        int64
+	// scarcityOff turns admission under scarcity off.
+	scarcityOff bool
 	duration    time.Duration
 	// prepare, if set, is called before the load begins.
 	prepare func(*world)
--- a/internal/leasetest/entries_test.go
+++ b/internal/leasetest/entries_test.go
@@ -31,6 +31,7 @@
 	settings := broker.DefaultSettings("dc", ended)
 	settings.EvacuateWithin = e.w.evacuations.entryBound()
 	settings.Preemption = e.w.preempt.settings
+	settings.Scarcity.Off = e.w.scarcityOff
 	e.w.racks.configure(&settings)
 	e.core = broker.New(settings, rand.NewSource(e.w.rng.Int63()))
 	e.links = map[broker.AgentID]*conn{}
--- a/internal/leasetest/preemption_load_test.go
+++ b/internal/leasetest/preemption_load_test.go
@@ -42,6 +42,7 @@
 			}
 		}
 	}
+	w.scarcityOff = d.scarcityOff
 	w.setPreemption(s)
 	w.run(1600 * time.Millisecond)
 	begin := w.now
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -80,6 +80,8 @@
 	// waits compares predicted with actual waits; nil if nobody asks for it.
 	waits   *waitLog
 	preempt preemptions
+	// scarcityOff turns admission under scarcity off at entries that start.
+	scarcityOff bool
 	// racks describes the racks, nil if there are none.
 	racks *rackWorld
 }
--- /dev/null
+++ b/internal/scarcity/scarcity.go
@@ -0,0 +1,209 @@
+// Package scarcity decides which jobs are refused while demand exceeds the capacity of a
+// service.
+//
+// It handles loads of queues of unequal priority somewhat above what the upstreams can serve,
+// such as a burst of long work of the last priority. What is admitted beyond the capacity
+// waits, and then all that waits ends late. So the work that does not fit is refused at its
+// arrival, the least urgent first, and the rest keeps short waits. A service all of whose jobs
+// have the same priority, and one that is not short of capacity, is left alone.
+//
+// Each entry decides by itself. The measure is the headroom of all upstreams as agents report
+// it, which includes the work of all entries, so no entry has to know the demand at the others.
+//
+// The package does no I/O; times are those of the caller's monotonic clock.
+package scarcity
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// learnFor is the time since a controller's first arrival before which it refuses
+	// nothing: a restarted entry knows neither the priorities nor the run times.
+	learnFor = 500 * time.Millisecond
+	// snapshotMaxAge is the age above which a snapshot no longer counts. Agents report at
+	// least every 200 ms.
+	snapshotMaxAge = 500 * time.Millisecond
+	// enterAfter is the time for which headroom has to be short before scarcity begins.
+	// It outlasts a single late report. leaveAfter is the time for which there has to be
+	// enough for all before scarcity ends; demand near the capacity crosses it often.
+	enterAfter = 30 * time.Millisecond
+	leaveAfter = 300 * time.Millisecond
+	// priorityExpiry is the time without arrivals after which a priority no longer counts.
+	priorityExpiry = 10 * time.Second
+	// runTimeWeight is the weight of a job in the mean run time of its priority.
+	runTimeWeight = 0.05
+	// maxCredit bounds the jobs that a queue may have admitted at once after jobs that were
+	// refused for other reasons. A sum of shares below 1 stays below it.
+	maxCredit = 2
+	// minRetryAfter is the shortest retry delay, before a random part is added.
+	minRetryAfter = 500 * time.Millisecond
+)
+
+// Settings are the limits of admission under scarcity.
+type Settings struct {
+	// Off disables it.
+	Off bool
+	// Floor is the share of its jobs that a queue keeps, however much urgent work there is.
+	Floor float64
+	// FullHeadroom is the headroom, as a share of the capacity, from which all jobs of the
+	// last priority are admitted; below it their share falls to nothing over Range. Each more
+	// urgent priority begins Step below the one after it.
+	FullHeadroom, Range, Step float64
+}
+
+// DefaultSettings returns the default limits.
+func DefaultSettings() Settings {
+	return Settings{Floor: 0.4, FullHeadroom: -0.1, Range: 0.2, Step: 0.4}
+}
+
+// Job is a job that arrives.
+type Job struct {
+	Queue    string
+	Priority int
+	// Expected is the expected run time of its longest task.
+	Expected time.Duration
+}
+
+// Verdict is a decision about a job and what it rests on.
+type Verdict struct {
+	Refuse bool
+	// RetryAfter is the retry delay of a refusal, before a random part is added.
+	RetryAfter time.Duration
+	// Headroom is the share of the capacity that is free less what waits, Share the share of
+	// the priority's jobs that is admitted.
+	Headroom, Share float64
+}
+
+// level is what is known of a priority.
+type level struct {
+	priority int
+	// expected is the mean expected run time of its jobs.
+	expected time.Duration
+	seenAt   time.Duration
+}
+
+// queue is the state of admission of a queue.
+type queue struct {
+	// credit is the number of jobs that may be admitted. Each arrival adds the share that is
+	// admitted, so that shares hold exactly and do not depend on the size of jobs.
+	credit float64
+}
+
+// Controller decides for one service. It is not safe for concurrent use.
+type Controller struct {
+	settings Settings
+	// levels holds the priorities that have arrived, the most urgent first.
+	levels []level
+	queues map[string]*queue
+	// learnedAt is when the controller begins to refuse; 0 means that nothing has arrived.
+	learnedAt time.Duration
+
+	snapshot   Snapshot
+	observedAt time.Duration
+	scarce     bool
+	// crossedAt is since when the headroom calls for the other state than scarce; 0 means that
+	// it does not.
+	crossedAt time.Duration
+}
+
+// New returns a controller that has seen no job and no report.
+func New(s Settings) *Controller { return &Controller{settings: s, queues: map[string]*queue{}} }
+
+// ObservedAt returns the time of the last snapshot.
+func (c *Controller) ObservedAt() time.Duration { return c.observedAt }
+
+// Observe handles a new snapshot of the service's usable upstreams.
+func (c *Controller) Observe(now time.Duration, s Snapshot) {
+	c.snapshot, c.observedAt = s, now
+	if len(c.levels) < 2 || s.Capacity == 0 {
+		c.scarce, c.crossedAt = false, 0
+		return
+	}
+	last := len(c.levels) - 1
+	short := c.headroom(last) < c.settings.FullHeadroom
+	switch {
+	case short == c.scarce:
+		c.crossedAt = 0
+	case c.crossedAt == 0:
+		c.crossedAt = now
+	case short && now-c.crossedAt >= enterAfter, !short && now-c.crossedAt >= leaveAfter:
+		c.scarce, c.crossedAt = short, 0
+	}
+}
+
+// Arrived handles the arrival of a job, whether it is admitted or not.
+func (c *Controller) Arrived(now time.Duration, j Job) {
+	if c.learnedAt == 0 {
+		c.learnedAt = now + learnFor
+	}
+	l := c.level(now, j)
+	l.seenAt = now
+	l.expected += time.Duration(runTimeWeight * float64(j.Expected-l.expected))
+	q := c.queues[j.Queue]
+	if q == nil {
+		q = &queue{}
+		c.queues[j.Queue] = q
+	}
+	q.credit = min(q.credit+c.share(now, j.Priority), maxCredit)
+}
+
+// level returns the state of the job's priority, and drops those without arrivals.
+func (c *Controller) level(now time.Duration, j Job) *level {
+	i, found := slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
+	if found {
+		return &c.levels[i]
+	}
+	c.levels = slices.DeleteFunc(c.levels, func(l level) bool { return now-l.seenAt > priorityExpiry })
+	i, _ = slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
+	c.levels = slices.Insert(c.levels, i, level{priority: j.Priority, expected: j.Expected})
+	return &c.levels[i]
+}
+
+// headroom returns the share of the capacity that is free, less what waits at the level and
+// above it.
+func (c *Controller) headroom(index int) float64 {
+	waiting := 0.0
+	for _, l := range c.levels[:index+1] {
+		waiting += c.snapshot.waiting(l.priority, l.expected)
+	}
+	return (float64(c.snapshot.Free) - waiting) / float64(c.snapshot.Capacity)
+}
+
+// share returns the share of a priority's jobs that is admitted now.
+func (c *Controller) share(now time.Duration, priority int) float64 {
+	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == priority })
+	if !c.Scarce(now) || i <= 0 {
+		return 1
+	}
+	full := c.settings.FullHeadroom - float64(len(c.levels)-1-i)*c.settings.Step
+	return min(max(1-(full-c.headroom(i))/c.settings.Range, c.settings.Floor), 1)
+}
+
+// Scarce reports whether the service is short of capacity.
+func (c *Controller) Scarce(now time.Duration) bool {
+	return !c.settings.Off && c.scarce && now >= c.learnedAt && now-c.observedAt <= snapshotMaxAge
+}
+
+// Judge decides about a job that has arrived. It changes nothing.
+func (c *Controller) Judge(now time.Duration, j Job) Verdict {
+	q := c.queues[j.Queue]
+	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == j.Priority })
+	if q == nil || i <= 0 || !c.Scarce(now) {
+		return Verdict{Share: 1}
+	}
+	v := Verdict{Headroom: c.headroom(i), Share: c.share(now, j.Priority)}
+	// The sum of shares of a third and the like may fall short of 1 by rounding.
+	if q.credit < 1-1e-9 {
+		v.Refuse, v.RetryAfter = true, minRetryAfter
+	}
+	return v
+}
+
+// Admitted handles the admission of a job.
+func (c *Controller) Admitted(queue string) {
+	if q := c.queues[queue]; q != nil {
+		q.credit = max(q.credit-1, 0)
+	}
+}
--- /dev/null
+++ b/internal/scarcity/scarcity_test.go
@@ -0,0 +1,159 @@
+package scarcity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+const ms = time.Millisecond
+
+// Queues of three priorities.
+var (
+	urgent = Job{Queue: "urgent", Priority: 0, Expected: 60 * ms}
+	middle = Job{Queue: "middle", Priority: 1, Expected: 200 * ms}
+	long   = Job{Queue: "long", Priority: 2, Expected: 900 * ms}
+)
+
+// fleet returns a snapshot of 60 full upstreams at which work of each priority waits, in
+// milliseconds of an upstream.
+func fleet(free int, waiting ...uint32) Snapshot {
+	var s Snapshot
+	l := wire.Load{CapacityCPU: 64_000, TaskCPU: 5000}
+	copy(l.QueuedWork[:], waiting)
+	for range 60 {
+		s.Add(&l, free)
+	}
+	return s
+}
+
+// play lets a job of each kind arrive every 10 ms and returns the admitted and all jobs of
+// each in the last second.
+func play(c *Controller, from, d time.Duration, s func(time.Duration) (Snapshot, bool), jobs ...Job) (admitted map[string]int, of int) {
+	admitted = map[string]int{}
+	for now := from; now < from+d; now += 10 * ms {
+		if snapshot, ok := s(now); ok {
+			c.Observe(now, snapshot)
+		}
+		last := now >= from+d-time.Second
+		if last {
+			of++
+		}
+		for _, j := range jobs {
+			c.Arrived(now, j)
+			if v := c.Judge(now, j); v.Refuse {
+				continue
+			}
+			c.Admitted(j.Queue)
+			if last {
+				admitted[j.Queue]++
+			}
+		}
+	}
+	return admitted, of
+}
+
+func always(s Snapshot) func(time.Duration) (Snapshot, bool) {
+	return func(time.Duration) (Snapshot, bool) { return s, true }
+}
+
+// Guards against refusals outside scarcity and of the most urgent work, against the wrong
+// order of refusals, and against a queue that is starved or not refused.
+func TestAdmittedShares(t *testing.T) {
+	for name, c := range map[string]struct {
+		off                  bool
+		s                    Snapshot
+		jobs                 []Job
+		urgent, middle, long int
+	}{
+		"free capacity":                  {s: fleet(10_000), urgent: 100, middle: 100, long: 100},
+		"short queues":                   {s: fleet(0, 0, 0, 80), urgent: 100, middle: 100, long: 100},
+		"half of the last priority":      {s: fleet(0, 0, 0, 180), urgent: 100, middle: 100, long: 50},
+		"the floor of the last priority": {s: fleet(0, 0, 0, 900), urgent: 100, middle: 100, long: 40},
+		"half of the middle priority":    {s: fleet(0, 0, 120, 900), urgent: 100, middle: 50, long: 40},
+		"floors of both":                 {s: fleet(0, 60, 400, 900), urgent: 100, middle: 40, long: 40},
+		"off":                            {off: true, s: fleet(0, 60, 400, 900), urgent: 100, middle: 100, long: 100},
+		"one priority":                   {s: fleet(0, 0, 400, 900), jobs: []Job{long}, long: 100},
+	} {
+		settings := DefaultSettings()
+		settings.Off = c.off
+		jobs := c.jobs
+		if jobs == nil {
+			jobs = []Job{urgent, middle, long}
+		}
+		got, _ := play(New(settings), time.Second, 3*time.Second, always(c.s), jobs...)
+		for queue, want := range map[string]int{"urgent": c.urgent, "middle": c.middle, "long": c.long} {
+			if n := got[queue]; n < want-1 || n > want+1 {
+				t.Errorf("%s: %d of 100 jobs of %s are admitted, want %d", name, n, queue, want)
+			}
+		}
+	}
+}
+
+// Guards against a restarted entry that refuses before it has learned, and against reports
+// that stay in force for longer than 500 ms.
+func TestUnknownStateRefusesNothing(t *testing.T) {
+	c := New(DefaultSettings())
+	short := fleet(0, 0, 0, 900)
+	got, of := play(c, time.Second, learnFor-10*ms, always(short), urgent, long)
+	if got["long"] != of {
+		t.Errorf("%d of %d jobs are admitted before the entry has learned, want all", got["long"], of)
+	}
+	play(c, time.Second+learnFor, time.Second, always(short), urgent, long)
+	begin := 2*time.Second + learnFor
+	none := func(time.Duration) (Snapshot, bool) { return Snapshot{}, false }
+	play(c, begin, 400*ms, none, urgent, long)
+	if !c.Scarce(begin + 400*ms) {
+		t.Error("scarcity ends 400 ms after the last snapshot, want 500 ms")
+	}
+	if c.Scarce(begin + 600*ms) {
+		t.Error("a snapshot is in force after 600 ms, want 500 ms at most")
+	}
+}
+
+// Guards against a slow reaction to the begin of a burst and to its end, and against scarcity
+// that begins with a single short peak.
+func TestBeginAndEnd(t *testing.T) {
+	c := New(DefaultSettings())
+	idle, short := fleet(20_000), fleet(0, 0, 0, 900)
+	play(c, time.Second, time.Second, always(idle), urgent, long)
+	play(c, 2*time.Second, 20*ms, always(short), urgent, long)
+	if c.Scarce(2020 * ms) {
+		t.Error("scarcity begins after 20 ms")
+	}
+	play(c, 2020*ms, 30*ms, always(short), urgent, long)
+	if !c.Scarce(2050 * ms) {
+		t.Error("scarcity has not begun after 50 ms")
+	}
+	play(c, 2050*ms, 320*ms, always(idle), urgent, long)
+	if c.Scarce(2370 * ms) {
+		t.Error("scarcity has not ended after 320 ms with free capacity")
+	}
+}
+
+// A decision with 60 agents: the sum of their reports, the arrival and the verdict. At most
+// 10 µs and no allocation.
+func BenchmarkAdmit(b *testing.B) {
+	c := New(DefaultSettings())
+	jobs := []Job{urgent, middle, long}
+	loads := make([]wire.Load, 60)
+	for i := range loads {
+		loads[i] = wire.Load{CapacityCPU: 64_000, TaskCPU: 5000, QueuedWork: [wire.PriorityLevels]uint32{10, 20, 900}}
+	}
+	now := time.Second
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 10 * ms
+		var s Snapshot
+		for k := range loads {
+			s.Add(&loads[k], 0)
+		}
+		c.Observe(now, s)
+		j := jobs[i%3]
+		c.Arrived(now, j)
+		if !c.Judge(now, j).Refuse {
+			c.Admitted(j.Queue)
+		}
+	}
+}
