Log, count and configure admission under scarcity

Cause: refusals under scarcity did not say what they rest on, and the part could not be turned off on the platform.

A refusal logs queue, headroom and share; the begin and end of scarcity are logged and counted as decisions; damasklb_scarcity_refusals_total counts by queue. A decision is judged without a change of state, so explanations show the same as the next job gets. The retry delay is 500 ms over the share admitted.

The retry delay is not measured under load: callers of leasetest do not retry.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -74,12 +74,12 @@
 		placements = b.plan(now, j)
 	}
 	v := b.judge(now, j, placements)
+	b.countDecision(now, j, v)
 	if v.Action != explain.Place {
 		cancelPlan(placements)
 	}
 	switch v.Action {
 	case explain.Place:
-		b.countAdmission(j)
 		for _, p := range placements {
 			if p.hold {
 				b.hold(now, p.task)
@@ -96,12 +96,13 @@
 			return Outcome{}, false
 		}
 	}
-	return b.refuse(j, b.refusal(v), v.AtOnce), true
+	return b.refuse(j, b.refusal(v), v), true
 }
 
 // refuse logs a refusal at arrival with its cause.
-func (b *Broker) refuse(j *job, o Outcome, atOnce int) Outcome {
-	b.emit(Decision{Job: j.sub.ID, Action: "refuse", Reason: o.Reason, Wait: o.RetryAfter, Tasks: len(j.tasks), AtOnce: atOnce})
+func (b *Broker) refuse(j *job, o Outcome, v explain.Verdict) Outcome {
+	b.emit(Decision{Job: j.sub.ID, Action: "refuse", Reason: o.Reason, Wait: o.RetryAfter, Tasks: len(j.tasks), AtOnce: v.AtOnce,
+		Queue: j.sub.Queue.Name, Headroom: v.Headroom, Share: v.Share})
 	return o
 }
 
--- a/internal/broker/effects.go
+++ b/internal/broker/effects.go
@@ -28,7 +28,7 @@
 	Job   string
 	Index int
 	Run   uint64
-	// Queue is set for decisions about a queue.
+	// Queue is set for decisions about a queue and for refusals.
 	Queue  string
 	Agent  string
 	Action string
@@ -41,6 +41,8 @@
 	// Tasks is the number of the job's tasks, AtOnce the number of those that would
 	// have started without a wait. Only refusals set them.
 	Tasks, AtOnce int
+	// Headroom and Share are what a decision under scarcity rests on (scarcity.Verdict).
+	Headroom, Share float64
 	// Runs is the number of runs under a crash, Crashes that of the crashes under a task
 	// or job.
 	Runs, Crashes int
--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -31,7 +31,9 @@
 				s.Add(l, free)
 			}
 		}
-		c.Observe(now, s)
+		if c.Observe(now, s) {
+			b.emitScarcity(now, service, c)
+		}
 	}
 	c.Arrived(now, j.demand())
 }
@@ -44,12 +46,23 @@
 		return explain.Verdict{}, false
 	}
 	s := c.Judge(now, j.demand())
-	return explain.RefuseFor(reasonScarcity, s.RetryAfter), s.Refuse
+	v := explain.RefuseFor(reasonScarcity, s.RetryAfter)
+	v.Headroom, v.Share = s.Headroom, s.Share
+	return v, s.Refuse
+}
+
+func (b *Broker) emitScarcity(now time.Duration, service string, c *scarcity.Controller) {
+	d := Decision{Action: "scarcity-ends", Reason: service, Headroom: c.Headroom()}
+	if c.Scarce(now) {
+		d.Action = "scarcity-begins"
+	}
+	b.emit(d)
 }
 
-// countAdmission handles the admission of a job.
-func (b *Broker) countAdmission(j *job) {
-	if c := b.scarcity[j.sub.Queue.Service]; c != nil {
-		c.Admitted(j.sub.Queue.Name)
+// countDecision handles the decision about a job.
+func (b *Broker) countDecision(now time.Duration, j *job, v explain.Verdict) {
+	admitted := v.Action == explain.Place
+	if c := b.scarcity[j.sub.Queue.Service]; c != nil && (admitted || v.Reason == reasonScarcity) {
+		c.Decided(now, j.demand(), admitted)
 	}
 }
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -220,6 +220,7 @@
 	settings.Locality.MaxWait = s.RackMaxWait
 	settings.EvacuateWithin = s.EvacuateWithin
 	settings.Preemption = s.Preemption
+	settings.Scarcity = s.Scarcity
 	e, err := leased.StartEntry(leased.EntryOptions{
 		Process: info, Broker: settings, Store: newStore(s),
 		ConfigKey: platform.ConfigKey, ConfigTable: platform.ConfigTable, Decode: platform.DecodeConfig,
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -33,6 +33,8 @@
 	Wait, Limit time.Duration
 	// AtOnce is the number of tasks that would start without a wait.
 	AtOnce int
+	// Headroom and Share are what a refusal under scarcity rests on (scarcity.Verdict).
+	Headroom, Share float64
 }
 
 // RefuseFor returns the verdict that refuses for a reason.
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -133,6 +133,12 @@
 }
 
 func (e *Entry) logDecision(m broker.Decision) {
+	if m.Action == "refuse" && m.Share > 0 {
+		scarcityRefusals(m.Queue).Inc()
+		e.log.Info(m.Action, "job", m.Job, "reason", m.Reason, "retry_after_ms", m.Wait.Milliseconds(),
+			"tasks", m.Tasks, "queue", m.Queue, "headroom", m.Headroom, "share", m.Share)
+		return
+	}
 	if m.Action == "refuse" {
 		e.log.Info(m.Action, "job", m.Job, "reason", m.Reason, "retry_after_ms", m.Wait.Milliseconds(),
 			"tasks", m.Tasks, "at_once", m.AtOnce)
@@ -148,6 +154,9 @@
 	case "evacuate", "evacuation-ended":
 		e.log.Warn(m.Action, "data_centre", m.Agent, "request_version", m.Version, "running", m.Runs, "taken_back", m.Tasks)
 		return
+	case "scarcity-begins", "scarcity-ends":
+		e.log.Warn(m.Action, "service", m.Reason, "headroom", m.Headroom)
+		return
 	case "hold":
 		e.logRack(m)
 		return
--- a/internal/leased/metrics.go
+++ b/internal/leased/metrics.go
@@ -40,6 +40,11 @@
 	return metrics.GetOrCreateCounter(`damasklb_hosted_queries_total{page="` + page + `",result="` + result + `"}`)
 }
 
+// scarcityRefusals counts the jobs of a queue that were refused while capacity was scarce.
+func scarcityRefusals(queue string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`damasklb_scarcity_refusals_total{queue="` + queue + `"}`)
+}
+
 func outcomeCounter(outcome string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`damasklb_hosted_answers_total{outcome="` + outcome + `"}`)
 }
--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -34,13 +34,15 @@
 	priorityExpiry = 10 * time.Second
 	// runTimeWeight is the weight of a job in the mean run time of its priority.
 	runTimeWeight = 0.05
-	// maxCredit bounds the jobs that a queue may have admitted at once after jobs that were
-	// refused for other reasons. A sum of shares below 1 stays below it.
-	maxCredit = 2
+	// rounding is the error of a sum of shares that still counts as a whole job.
+	rounding = 1e-9
 	// minRetryAfter is the shortest retry delay, before a random part is added.
 	minRetryAfter = 500 * time.Millisecond
 )
 
+// MinFloor is the smallest floor that may be set. Below it a queue would be starved.
+const MinFloor = 0.1
+
 // Settings are the limits of admission under scarcity.
 type Settings struct {
 	// Off disables it.
@@ -84,19 +86,15 @@
 	seenAt   time.Duration
 }
 
-// queue is the state of admission of a queue.
-type queue struct {
-	// credit is the number of jobs that may be admitted. Each arrival adds the share that is
-	// admitted, so that shares hold exactly and do not depend on the size of jobs.
-	credit float64
-}
-
 // Controller decides for one service. It is not safe for concurrent use.
 type Controller struct {
 	settings Settings
 	// levels holds the priorities that have arrived, the most urgent first.
 	levels []level
-	queues map[string]*queue
+	// credits is the part of a job of each queue that was not admitted yet. Each job that is
+	// decided adds the share that is admitted, so that shares hold exactly and do not depend on
+	// the size of jobs.
+	credits map[string]float64
 	// learnedAt is when the controller begins to refuse; 0 means that nothing has arrived.
 	learnedAt time.Duration
 
@@ -109,17 +107,19 @@
 }
 
 // New returns a controller that has seen no job and no report.
-func New(s Settings) *Controller { return &Controller{settings: s, queues: map[string]*queue{}} }
+func New(s Settings) *Controller { return &Controller{settings: s, credits: map[string]float64{}} }
 
 // ObservedAt returns the time of the last snapshot.
 func (c *Controller) ObservedAt() time.Duration { return c.observedAt }
 
 // Observe handles a new snapshot of the service's usable upstreams.
-func (c *Controller) Observe(now time.Duration, s Snapshot) {
+// It reports whether scarcity has begun or ended.
+func (c *Controller) Observe(now time.Duration, s Snapshot) (changed bool) {
+	was := c.scarce
 	c.snapshot, c.observedAt = s, now
 	if len(c.levels) < 2 || s.Capacity == 0 {
 		c.scarce, c.crossedAt = false, 0
-		return
+		return c.scarce != was
 	}
 	last := len(c.levels) - 1
 	short := c.headroom(last) < c.settings.FullHeadroom
@@ -131,6 +131,7 @@
 	case short && now-c.crossedAt >= enterAfter, !short && now-c.crossedAt >= leaveAfter:
 		c.scarce, c.crossedAt = short, 0
 	}
+	return c.scarce != was
 }
 
 // Arrived handles the arrival of a job, whether it is admitted or not.
@@ -141,12 +142,6 @@
 	l := c.level(now, j)
 	l.seenAt = now
 	l.expected += time.Duration(runTimeWeight * float64(j.Expected-l.expected))
-	q := c.queues[j.Queue]
-	if q == nil {
-		q = &queue{}
-		c.queues[j.Queue] = q
-	}
-	q.credit = min(q.credit+c.share(now, j.Priority), maxCredit)
 }
 
 // level returns the state of the job's priority, and drops those without arrivals.
@@ -161,6 +156,15 @@
 	return &c.levels[i]
 }
 
+// Headroom returns the share of the service's capacity that is free, less what waits at any
+// priority, as of the last snapshot.
+func (c *Controller) Headroom() float64 {
+	if c.snapshot.Capacity == 0 {
+		return 0
+	}
+	return c.headroom(len(c.levels) - 1)
+}
+
 // headroom returns the share of the capacity that is free, less what waits at the level and
 // above it.
 func (c *Controller) headroom(index int) float64 {
@@ -186,24 +190,27 @@
 	return !c.settings.Off && c.scarce && now >= c.learnedAt && now-c.observedAt <= snapshotMaxAge
 }
 
-// Judge decides about a job that has arrived. It changes nothing.
+// Judge decides about a job. It changes nothing, so that explanations use it as well.
 func (c *Controller) Judge(now time.Duration, j Job) Verdict {
-	q := c.queues[j.Queue]
 	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == j.Priority })
-	if q == nil || i <= 0 || !c.Scarce(now) {
+	if i <= 0 || !c.Scarce(now) {
 		return Verdict{Share: 1}
 	}
 	v := Verdict{Headroom: c.headroom(i), Share: c.share(now, j.Priority)}
-	// The sum of shares of a third and the like may fall short of 1 by rounding.
-	if q.credit < 1-1e-9 {
-		v.Refuse, v.RetryAfter = true, minRetryAfter
+	if c.credits[j.Queue]+v.Share < 1-rounding {
+		// The smaller the share, the later the next attempt, so that retries do not add to the
+		// demand in proportion to it. More urgent work has the larger share and is back sooner.
+		v.Refuse, v.RetryAfter = true, time.Duration(float64(minRetryAfter)/v.Share).Round(time.Millisecond)
 	}
 	return v
 }
 
-// Admitted handles the admission of a job.
-func (c *Controller) Admitted(queue string) {
-	if q := c.queues[queue]; q != nil {
-		q.credit = max(q.credit-1, 0)
+// Decided handles the decision about a job. Jobs that are refused for another reason do not
+// count.
+func (c *Controller) Decided(now time.Duration, j Job, admitted bool) {
+	credit := c.credits[j.Queue] + c.share(now, j.Priority)
+	if admitted {
+		credit--
 	}
+	c.credits[j.Queue] = min(max(credit, 0), 1)
 }
--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -42,11 +42,9 @@
 		}
 		for _, j := range jobs {
 			c.Arrived(now, j)
-			if v := c.Judge(now, j); v.Refuse {
-				continue
-			}
-			c.Admitted(j.Queue)
-			if last {
+			admit := !c.Judge(now, j).Refuse
+			c.Decided(now, j, admit)
+			if last && admit {
 				admitted[j.Queue]++
 			}
 		}
@@ -91,6 +89,25 @@
 	}
 }
 
+// Guards against retries that come back the sooner the less is admitted.
+func TestRetryDelay(t *testing.T) {
+	c := New(DefaultSettings())
+	play(c, time.Second, 2*time.Second, always(fleet(0, 0, 120, 900)), urgent, middle, long)
+	delay := map[string]time.Duration{}
+	for i := range 10 {
+		for _, j := range []Job{middle, long} {
+			v := c.Judge(3*time.Second, j)
+			if v.Refuse {
+				delay[j.Queue] = v.RetryAfter
+			}
+			c.Decided(3*time.Second+time.Duration(i), j, !v.Refuse)
+		}
+	}
+	if delay["middle"] != time.Second || delay["long"] != 1250*ms {
+		t.Errorf("retry delays %v, want 1 s for half and 1.25 s for 0.4 of the jobs", delay)
+	}
+}
+
 // Guards against a restarted entry that refuses before it has learned, and against reports
 // that stay in force for longer than 500 ms.
 func TestUnknownStateRefusesNothing(t *testing.T) {
@@ -152,8 +169,6 @@
 		c.Observe(now, s)
 		j := jobs[i%3]
 		c.Arrived(now, j)
-		if !c.Judge(now, j).Refuse {
-			c.Admitted(j.Queue)
-		}
+		c.Decided(now, j, !c.Judge(now, j).Refuse)
 	}
 }
