--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// Guards against agents of an older version, which report no size of tasks and no forecast, that
+// count as idle, and against free capacity that is too small for a task.
+func TestSnapshot(t *testing.T) {
+	var s Snapshot
+	s.Add(&wire.Load{CapacityCPU: 10_000, QueuedWork: [wire.PriorityLevels]uint32{0, 100}}, 3000)
+	s.Add(&wire.Load{CapacityCPU: 20_000, TaskCPU: 4000}, 7000)
+	if s.Capacity != 30_000 || s.Free != 3000+4000 {
+		t.Errorf("%+v, want 7000 of 30000 free", s)
+	}
+	if got := s.waiting(1, 200*ms); got != 5000 {
+		t.Errorf("%v waits, want 5000", got)
+	}
+}
+
+// Guards against queues that starve because entries disagree: whatever the others do and an
+// entry sees, it admits the floor of its own jobs.
+func TestFloorHoldsAtEachEntry(t *testing.T) {
+	for _, waiting := range []uint32{500, 5000, 50_000} {
+		got, of := play(New(DefaultSettings()), time.Second, 3*time.Second, always(fleet(0, waiting, waiting, waiting)), urgent, middle, long)
+		for _, queue := range []string{"middle", "long"} {
+			if got[queue] < int(0.4*float64(of))-1 {
+				t.Errorf("%d ms wait: %d of %d jobs of %s are admitted, want the floor", waiting, got[queue], of, queue)
+			}
+		}
+	}
+}
+
 // A decision with 60 agents: the sum of their reports, the arrival and the verdict. At most
 // 10 µs and no allocation.
 func BenchmarkAdmit(b *testing.B) {
