--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -26,9 +26,10 @@
 	// least every 200 ms.
 	snapshotMaxAge = 500 * time.Millisecond
 	// enterAfter is the time for which headroom has to be short before scarcity begins.
-	// It outlasts a single late report. leaveAfter is the time for which there has to be
+	// It outlasts short peaks of a demand that fits; with 100 ms the worth of a long burst
+	// fell. leaveAfter is the time for which there has to be
 	// enough for all before scarcity ends; demand near the capacity crosses it often.
-	enterAfter = 30 * time.Millisecond
+	enterAfter = 60 * time.Millisecond
 	leaveAfter = 300 * time.Millisecond
 	// priorityExpiry is the time without arrivals after which a priority no longer counts.
 	priorityExpiry = 10 * time.Second
@@ -39,8 +40,8 @@
 	// firstWaitShare, middleWaitShare and lastWaitShare are the shares of their slack that jobs
 	// of the most urgent priority, of the last one and of those between may be predicted to
 	// wait. More urgent work that arrives later lengthens a wait, and nothing overtakes the
-	// most urgent. What is left of 0.6 covers forecasts that are too short by half.
-	firstWaitShare, middleWaitShare, lastWaitShare = 0.6, 0.45, 0.2
+	// most urgent. What 0.5 leaves covers forecasts that are too short by half.
+	firstWaitShare, middleWaitShare, lastWaitShare = 0.5, 0.4, 0.2
 	// minRetryAfter is the shortest retry delay, before a random part is added.
 	minRetryAfter = 500 * time.Millisecond
 )
@@ -122,7 +123,7 @@
 func (c *Controller) Observe(now time.Duration, s Snapshot) (changed bool) {
 	was := c.scarce
 	c.snapshot, c.observedAt = s, now
-	if len(c.levels) < 2 || s.Capacity == 0 {
+	if len(c.levels) < 2 || s.Capacity <= 0 {
 		c.scarce, c.crossedAt = false, 0
 		return c.scarce != was
 	}
@@ -164,7 +165,7 @@
 // Headroom returns the share of the service's capacity that is free, less what waits at any
 // priority, as of the last snapshot.
 func (c *Controller) Headroom() float64 {
-	if c.snapshot.Capacity == 0 {
+	if c.snapshot.Capacity <= 0 {
 		return 0
 	}
 	return c.headroom(len(c.levels) - 1)
