--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -75,6 +75,7 @@
 		placements = b.plan(now, j)
 	}
 	v := b.judge(now, j, placements)
+	b.countDecision(now, j, v)
 	if v.Action != explain.Place {
 		cancelPlan(placements)
 	}
@@ -96,12 +97,13 @@
 			return Outcome{}, false
 		}
 	}
-	return b.refuse(j, b.refusal(v), v.AtOnce), true
+	return b.refuse(j, b.refusal(v), v), true
 }
 
 // refuse logs a refusal at arrival with its cause.
-func (b *Broker) refuse(j *job, o Outcome, atOnce int) Outcome {
-	b.emit(Decision{Job: j.sub.ID, Action: "refuse", Reason: o.Reason, Wait: o.RetryAfter, Tasks: len(j.tasks), AtOnce: atOnce})
+func (b *Broker) refuse(j *job, o Outcome, v explain.Verdict) Outcome {
+	b.emit(Decision{Job: j.sub.ID, Action: "refuse", Reason: o.Reason, Wait: o.RetryAfter, Tasks: len(j.tasks), AtOnce: v.AtOnce,
+		Queue: j.sub.Queue.Name, Headroom: v.Headroom, Share: v.Share})
 	return o
 }
 
@@ -193,7 +195,7 @@
 			return false
 		}
 	}
-	limit := time.Duration(maxWaitShare * float64(j.slack()))
+	limit := b.waitLimit(now, j)
 	if t.acceptedToWait {
 		limit = j.startLimit()
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -17,6 +17,7 @@
 	"github.com/damasklb/damasklb/internal/poison"
 	"github.com/damasklb/damasklb/internal/reports"
 	"github.com/damasklb/damasklb/internal/runtimes"
+	"github.com/damasklb/damasklb/internal/scarcity"
 	"github.com/damasklb/damasklb/internal/timeouts"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -47,6 +48,8 @@
 	// unplacedTriedAt is when the broker last tried to place them.
 	unplacedTriedAt time.Duration
 
+	// scarcity decides, by service, which jobs are refused while capacity is scarce.
+	scarcity map[string]*scarcity.Controller
 	// racks decides for the tasks that prefer a rack.
 	racks *locality.Racks
 	// timeouts tells how long callers have waited before they submitted a job.
@@ -77,6 +80,7 @@
 		retained: map[string][]*agent{},
 		stats:    map[string]*runtimes.Stats{},
 		poison:   poison.New(),
+		scarcity: map[string]*scarcity.Controller{},
 		racks:    locality.NewRacks(settings.Locality, settings.FarRackFactor),
 	}
 }
--- a/internal/broker/capacity_test.go
+++ b/internal/broker/capacity_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -29,10 +30,10 @@
 	if len(got) != 2 {
 		t.Fatalf("%d answers at once, want 2: %+v", len(got), got)
 	}
-	if o := got[0].Outcome; o.Kind != Unknown || o.Reason != reasonTooLarge {
+	if o := got[0].Outcome; o.Kind != Unknown || o.Reason != reasons.TooLarge {
 		t.Errorf("the job that has run: %v %q, want unknown", o.Kind, o.Reason)
 	}
-	if o := got[1].Outcome; o.Kind != Refused || o.Reason != reasonTooLarge || o.RetryAfter == 0 {
+	if o := got[1].Outcome; o.Kind != Refused || o.Reason != reasons.TooLarge || o.RetryAfter == 0 {
 		t.Errorf("the new job: %v %q retry after %v, want refused with a delay", o.Kind, o.Reason, o.RetryAfter)
 	}
 }
--- a/internal/broker/evacuation_test.go
+++ b/internal/broker/evacuation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/evacuation"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -97,7 +98,7 @@
 	g.takeEffects()
 	g.submit("j", 1, 1)
 	got := answers(g.takeEffects())
-	if len(got) != 1 || got[0].Outcome.Kind != Refused || got[0].Outcome.Reason != reasonEvacuated || got[0].Outcome.RetryAfter == 0 {
+	if len(got) != 1 || got[0].Outcome.Kind != Refused || got[0].Outcome.Reason != reasons.Evacuated || got[0].Outcome.RetryAfter == 0 {
 		t.Fatalf("answers %+v, want a refusal with a delay", got)
 	}
 	evacuated := load(0)
--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -9,6 +9,7 @@
 	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/placement"
 	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/runtimes"
 	"github.com/damasklb/damasklb/internal/status"
 )
@@ -162,7 +163,7 @@
 	case x.b.suspended(x.now):
 		v = explain.HoldFor(reasonResuming)
 	case t.liveAt != nil:
-		v = explain.HoldFor(reasonLive)
+		v = explain.HoldFor(reasons.Live)
 	case !t.unplaced:
 		v = explain.Verdict{Action: explain.Verify, Reason: reasonOverload}
 	}
--- a/internal/broker/explain_test.go
+++ b/internal/broker/explain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/damasklb/damasklb/internal/catalog"
 	"github.com/damasklb/damasklb/internal/invariant"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/status"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -88,7 +89,7 @@
 		g.b.CrashReported(g.now, host, crash)
 	case event > 4 && event < 8 && len(open) > 0:
 		state := []wire.RunState{wire.RunDone, wire.RunFailed, wire.RunNotStarted}[event-5]
-		g.report(open[pick%len(open)], state, reasonNoRoom)
+		g.report(open[pick%len(open)], state, reasons.NoRoom)
 	case event == 8 && len(open) > 0:
 		g.report(open[pick%len(open)], wire.RunStarted, "")
 	default:
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -134,6 +134,7 @@
 	if b.giveUpSuspect(now, j) {
 		return
 	}
+	b.countArrival(now, j)
 	if refusal, refused := b.admit(now, j); refused {
 		delete(b.jobs, sub.ID)
 		if j.started {
@@ -323,7 +324,7 @@
 	case wire.RunNotStarted:
 		b.notStarted(now, t, a, m, withdrawn)
 	default:
-		if m.Reason != reasonPreempted {
+		if m.Reason != reasons.Preempted {
 			crashes, _ := b.poison.Suspicion(m.Attempt.Task)
 			b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "cut-short", Reason: m.Reason, Crashes: crashes})
 		}
@@ -361,7 +362,7 @@
 // notStarted handles an attempt that never ran.
 func (b *Broker) notStarted(now time.Duration, t *task, a *agent, m wire.RunReport, withdrawn bool) {
 	j := t.job
-	if m.Reason == reasonLive {
+	if m.Reason == reasons.Live {
 		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "not-started", Reason: m.Reason})
 		t.liveAt, t.liveRetryAt = a, now+liveRetry
 		b.placeAgain(now, t)
@@ -372,18 +373,18 @@
 		b.placeAgain(now, t)
 		return
 	}
-	if m.Reason == reasonTrialLimit {
+	if m.Reason == reasons.TrialLimit {
 		t.trialRefusals++
 		b.placeAgain(now, t)
 		return
 	}
-	if m.Reason == reasonNoRoom {
+	if m.Reason == reasons.NoRoom {
 		t.rejections++
 		b.placeAgain(now, t)
 		return
 	}
 	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "not-started", Reason: m.Reason})
-	if m.Reason == reasonTooLate && !j.started && !j.closing {
+	if m.Reason == reasons.TooLate && !j.started && !j.closing {
 		b.close(now, j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.retryAfter(j)})
 		return
 	}
@@ -397,17 +398,6 @@
 // again.
 const liveRetry = 25 * time.Millisecond
 
-// Reasons of agents on which the broker acts in a particular way.
-const (
-	reasonLive       = reasons.Live
-	reasonNoRoom     = reasons.NoRoom
-	reasonTooLarge   = reasons.TooLarge
-	reasonTooLate    = reasons.TooLate
-	reasonTrialLimit = reasons.TrialLimit
-	reasonEvacuated  = reasons.Evacuated
-	reasonPreempted  = reasons.Preempted
-)
-
 // placeAgain places a task after its attempt has ended, unless its job is closing or
 // the task is done.
 func (b *Broker) placeAgain(now time.Duration, t *task) {
--- a/internal/broker/judge.go
+++ b/internal/broker/judge.go
@@ -5,6 +5,7 @@
 
 	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/poison"
+	"github.com/damasklb/damasklb/internal/reasons"
 )
 
 // The functions of this file decide and change nothing, so explanations use them as well.
@@ -13,6 +14,7 @@
 	reasonLeaving    = "entry-leaving"
 	reasonOverload   = "overload"
 	reasonNoUpstream = "no-upstream"
+	reasonScarcity   = "scarcity"
 	// The reasons for holding a job.
 	reasonResuming       = "process-resumed"
 	reasonAgentsExpected = "agents-expected"
@@ -37,7 +39,10 @@
 	if b.suspended(now) {
 		return explain.HoldFor(reasonResuming)
 	}
-	v := explain.Verdict{Action: explain.Place, Limit: time.Duration(maxWaitShare * float64(j.slack()))}
+	if v, refused := b.judgeScarcity(now, j); refused {
+		return v
+	}
+	v := explain.Verdict{Action: explain.Place, Limit: b.waitLimit(now, j)}
 	for _, p := range placements {
 		if p.agent == nil && !p.hold {
 			return b.judgeWithoutAgent(now, j)
@@ -69,10 +74,10 @@
 	}
 	for _, t := range j.tasks {
 		if b.exceedsAll(now, t) {
-			return explain.RefuseFor(reasonTooLarge, tooLargeRetryAfter)
+			return explain.RefuseFor(reasons.TooLarge, tooLargeRetryAfter)
 		}
 		if b.onlyEvacuated(now, t) {
-			return explain.RefuseFor(reasonEvacuated, evacuatedRetryAfter)
+			return explain.RefuseFor(reasons.Evacuated, evacuatedRetryAfter)
 		}
 	}
 	if now > startupGrace && now-b.lastPresentAt > agentReturnTimeout {
@@ -87,9 +92,9 @@
 	switch {
 	case a == nil && b.exceedsAll(now, t):
 		// The capacity of the upstreams may grow again.
-		return explain.RefuseFor(reasonTooLarge, tooLargeRetryAfter)
+		return explain.RefuseFor(reasons.TooLarge, tooLargeRetryAfter)
 	case a == nil && b.onlyEvacuated(now, t):
-		return explain.RefuseFor(reasonEvacuated, evacuatedRetryAfter)
+		return explain.RefuseFor(reasons.Evacuated, evacuatedRetryAfter)
 	case a == nil:
 		return explain.HoldFor(reasonNoAgentCanTake)
 	case wait > 0 && now < b.agentsExpectedUntil:
--- a/internal/broker/late.go
+++ b/internal/broker/late.go
@@ -1,6 +1,6 @@
 package broker
 
-import "time"
+import "github.com/damasklb/damasklb/internal/timeouts"
 
 // A job whose caller has waited before is expected to be late, so it may not wait at an agent: it
 // starts where capacity is free at once, or is refused and comes back. After a loss of many hosts,
@@ -17,8 +17,5 @@
 	}
 }
 
-// UsualTimeouts returns the learned short end of the usual timeouts of each queue.
-func (b *Broker) UsualTimeouts() map[string]time.Duration { return b.timeouts.Learned() }
-
-// RestoreTimeouts adds what this and other entries have learned before.
-func (b *Broker) RestoreTimeouts(learned []map[string]time.Duration) { b.timeouts.Restore(learned) }
+// Timeouts returns what is known of the usual timeouts of each queue.
+func (b *Broker) Timeouts() *timeouts.Usual { return &b.timeouts }
--- a/internal/broker/late_test.go
+++ b/internal/broker/late_test.go
@@ -16,7 +16,7 @@
 	for _, yield := range []bool{true, false} {
 		g := newRig(t, "a")
 		g.b.settings.LateJobsYield = yield
-		g.b.RestoreTimeouts([]map[string]time.Duration{{"late": 2 * time.Second}})
+		g.b.Timeouts().Restore([]map[string]time.Duration{{"late": 2 * time.Second}})
 		submit := func(id string, w Waiter, timeout time.Duration) (assigned, refused int) {
 			g.b.Submit(g.now, Submission{ID: id, Queue: q, Timeout: timeout,
 				Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: 200 * time.Millisecond}}}, w)
@@ -46,7 +46,7 @@
 // that runs joins it, whatever its timeout.
 func TestLateCopyJoinsItsJob(t *testing.T) {
 	g := newRig(t, "a")
-	g.b.RestoreTimeouts([]map[string]time.Duration{{"q": 2 * time.Second}})
+	g.b.Timeouts().Restore([]map[string]time.Duration{{"q": 2 * time.Second}})
 	g.submit("j", 1, 1)
 	assigned := messages[wire.Assign](g.takeEffects())
 	for i := range 3 {
--- a/internal/broker/links_test.go
+++ b/internal/broker/links_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -63,7 +64,7 @@
 	g := newRig(t, "a", "b")
 	g.submit("j", 1, 1)
 	first := messages[wire.Assign](g.takeEffects())[0]
-	g.report(first, wire.RunNotStarted, reasonLive)
+	g.report(first, wire.RunNotStarted, reasons.Live)
 	if n := len(messages[wire.Assign](g.takeEffects())); n != 0 {
 		t.Fatal("started at once")
 	}
@@ -76,7 +77,7 @@
 		if len(again) != 1 || again[0].agent != first.agent {
 			t.Fatalf("assigned %v, want the agent that has the live run", again)
 		}
-		g.report(again[0], wire.RunNotStarted, reasonLive)
+		g.report(again[0], wire.RunNotStarted, reasons.Live)
 	}
 	// The agent's next process is ready; it does not say how the run has ended.
 	g.connect(first.agent.Host, "2")
--- a/internal/broker/locality_test.go
+++ b/internal/broker/locality_test.go
@@ -11,6 +11,7 @@
 	"github.com/damasklb/damasklb/internal/catalog"
 	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -195,7 +196,7 @@
 	}
 	l := rackLoadOf("r1", 0)
 	l.LastSeq = sent[0].message.Seq
-	g.b.Report(g.now, sent[0].agent, wire.RunReport{Attempt: sent[0].message.Attempt, State: wire.RunNotStarted, Reason: reasonNoRoom, Load: l})
+	g.b.Report(g.now, sent[0].agent, wire.RunReport{Attempt: sent[0].message.Attempt, State: wire.RunNotStarted, Reason: reasons.NoRoom, Load: l})
 	if d := rackDecisions(g.takeEffects()); len(d) != 1 || d[0].Action != "hold" {
 		t.Errorf("decisions %+v after the refusal, want a hold", d)
 	}
--- a/internal/broker/preempt.go
+++ b/internal/broker/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -27,13 +28,13 @@
 // noteCutShort handles the end of an attempt as far as preemption is concerned. The job of a
 // preempted attempt counts as one that has run, whatever the agent knows of the start.
 func (b *Broker) noteCutShort(now time.Duration, t *task, a *agent, m wire.RunReport) {
-	preempted := m.Reason == reasonPreempted && m.State == wire.RunNotStarted
+	preempted := m.Reason == reasons.Preempted && m.State == wire.RunNotStarted
 	if m.State != wire.RunStopped && !preempted {
 		return
 	}
 	j := t.job
 	j.started, j.cutShort = true, true
-	if m.Reason == reasonPreempted {
+	if m.Reason == reasons.Preempted {
 		b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "preempted",
 			Reason: m.State.String(), Wait: j.arrived + j.slack() - now})
 	}
--- a/internal/broker/preempt_test.go
+++ b/internal/broker/preempt_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/preemption"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -35,7 +36,7 @@
 		t.Error("the first run may not yield")
 	}
 	g.report(first, wire.RunStarted, "")
-	g.report(first, wire.RunStopped, reasonPreempted)
+	g.report(first, wire.RunStopped, reasons.Preempted)
 	second := g.onlyAssign()
 	if second.message.MayYield || second.message.Attempt.Run <= first.message.Attempt.Run {
 		t.Errorf("second run %+v", second.message)
@@ -57,7 +58,7 @@
 	for _, state := range []wire.RunState{wire.RunStopped, wire.RunNotStarted} {
 		g := newPreemptingRig(t)
 		g.submit("j1", 1, 1)
-		g.report(g.onlyAssign(), state, reasonPreempted)
+		g.report(g.onlyAssign(), state, reasons.Preempted)
 		again := g.onlyAssign()
 		g.b.CloseAll(g.now, "entry-leaving")
 		g.report(again, wire.RunNotStarted, "withdrawn")
--- /dev/null
+++ b/internal/broker/scarcity.go
@@ -0,0 +1,79 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/damasklb/damasklb/internal/explain"
+	"github.com/damasklb/damasklb/internal/scarcity"
+)
+
+// snapshotInterval is the time between two sums over the agents' reports. It is a small part
+// of the age of reports.
+const snapshotInterval = 10 * time.Millisecond
+
+func (j *job) demand() scarcity.Job {
+	return scarcity.Job{Queue: j.sub.Queue.Name, Priority: j.sub.Queue.Priority, Expected: j.longestExpected()}
+}
+
+// countArrival handles the arrival of a job as far as admission under scarcity is concerned.
+func (b *Broker) countArrival(now time.Duration, j *job) {
+	service := j.sub.Queue.Service
+	c := b.scarcity[service]
+	if c == nil {
+		c = scarcity.New(b.settings.Scarcity)
+		b.scarcity[service] = c
+	}
+	if now-c.ObservedAt() >= snapshotInterval {
+		var s scarcity.Snapshot
+		for _, a := range b.agentList {
+			if l := &a.View.Load; l.Service == service && !l.Stuck && a.Usable(now, &b.settings.Limits) {
+				free, _, _ := a.View.Free(0)
+				s.Add(l, free)
+			}
+		}
+		if c.Observe(now, s) {
+			b.emitScarcity(now, service, c)
+		}
+	}
+	c.Arrived(now, j.demand())
+}
+
+// judgeScarcity decides whether a job is refused because more urgent work needs the capacity.
+// Jobs that were asked about before, and those that may have run, have been admitted.
+func (b *Broker) judgeScarcity(now time.Duration, j *job) (explain.Verdict, bool) {
+	c := b.scarcity[j.sub.Queue.Service]
+	if c == nil || j.verified || j.started {
+		return explain.Verdict{}, false
+	}
+	s := c.Judge(now, j.demand())
+	v := explain.RefuseFor(reasonScarcity, s.RetryAfter)
+	v.Headroom, v.Share = s.Headroom, s.Share
+	return v, s.Refuse
+}
+
+func (b *Broker) emitScarcity(now time.Duration, service string, c *scarcity.Controller) {
+	d := Decision{Action: "scarcity-ends", Reason: service, Headroom: c.Headroom()}
+	if c.Scarce(now) {
+		d.Action = "scarcity-begins"
+	}
+	b.emit(d)
+}
+
+// countDecision handles the decision about a job.
+func (b *Broker) countDecision(now time.Duration, j *job, v explain.Verdict) {
+	admitted := v.Action == explain.Place
+	if c := b.scarcity[j.sub.Queue.Service]; c != nil && (admitted || v.Reason == reasonScarcity) {
+		c.Decided(now, j.demand(), admitted)
+	}
+}
+
+// waitLimit returns the longest predicted wait with which a job is admitted.
+func (b *Broker) waitLimit(now time.Duration, j *job) time.Duration {
+	share := maxWaitShare
+	if c := b.scarcity[j.sub.Queue.Service]; c != nil {
+		if s, ok := c.WaitShare(now, j.sub.Queue.Priority); ok {
+			share = s
+		}
+	}
+	return time.Duration(share * float64(j.slack()))
+}
--- a/internal/brokerapi/settings.go
+++ b/internal/brokerapi/settings.go
@@ -8,6 +8,7 @@
 	"github.com/damasklb/damasklb/internal/agentlink"
 	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/preemption"
+	"github.com/damasklb/damasklb/internal/scarcity"
 )
 
 // Settings are the broker's limits.
@@ -36,6 +37,8 @@
 	LateJobsYield bool
 	// Locality bounds the wait of tasks for their preferred rack.
 	Locality locality.Settings
+	// Scarcity are the limits of admission while capacity is scarce.
+	Scarcity scarcity.Settings
 }
 
 // DefaultSettings returns settings that fit agents whose runs end within
@@ -50,5 +53,6 @@
 		ResumeDelay:     30 * time.Millisecond,
 		LateJobsYield:   true,
 		Locality:        locality.Settings{MaxWait: locality.DefaultMaxWait},
+		Scarcity:        scarcity.DefaultSettings(),
 	}
 }
--- a/internal/leased/timeouts.go
+++ b/internal/leased/timeouts.go
@@ -48,7 +48,7 @@
 		sleep(ctx, timeoutsCheckInterval+time.Duration(rand.Int63n(int64(timeoutsCheckInterval))))
 		learned := map[string]int64{}
 		e.withCore(func(_ time.Duration, core *broker.Broker) {
-			for queue, usual := range core.UsualTimeouts() {
+			for queue, usual := range core.Timeouts().Learned() {
 				learned[queue] = usual.Milliseconds()
 			}
 		})
@@ -99,7 +99,7 @@
 		}
 		learned = append(learned, l)
 	}
-	e.withCore(func(_ time.Duration, core *broker.Broker) { core.RestoreTimeouts(learned) })
+	e.withCore(func(_ time.Duration, core *broker.Broker) { core.Timeouts().Restore(learned) })
 }
 
 // maxUsualMS bounds the values of rows, which would overflow in nanoseconds otherwise.
--- a/internal/leasetest/late_test.go
+++ b/internal/leasetest/late_test.go
@@ -31,7 +31,7 @@
 			usual[k.queue.Name] = 3*(time.Duration(k.queue.Stretch*float64(k.mean)/2)+k.queue.LatencyTarget) + 1500*time.Millisecond
 		}
 		for _, e := range w.entries {
-			e.do(func(b *broker.Broker) { b.RestoreTimeouts([]map[string]time.Duration{usual}) })
+			e.do(func(b *broker.Broker) { b.Timeouts().Restore([]map[string]time.Duration{usual}) })
 		}
 	}
 	d.submit = func(j *clientJob) {
--- /dev/null
+++ b/internal/scarcity/scarcity.go
@@ -0,0 +1,236 @@
+// Package scarcity decides which jobs are refused while demand exceeds the capacity of a
+// service.
+//
+// It handles loads of queues of unequal priority somewhat above what the upstreams can serve,
+// such as a burst of long work of the last priority. What is admitted beyond the capacity
+// waits, and then all that waits ends late. So the work that does not fit is refused at its
+// arrival, the least urgent first, and the rest keeps short waits. A service all of whose jobs
+// have the same priority, and one that is not short of capacity, is left alone.
+//
+// Each entry decides by itself. The measure is the headroom of all upstreams as agents report
+// it, which includes the work of all entries, so no entry has to know the demand at the others.
+//
+// The package does no I/O; times are those of the caller's monotonic clock.
+package scarcity
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// learnFor is the time since a controller's first arrival before which it refuses
+	// nothing: a restarted entry knows neither the priorities nor the run times.
+	learnFor = 500 * time.Millisecond
+	// snapshotMaxAge is the age above which a snapshot no longer counts. Agents report at
+	// least every 200 ms.
+	snapshotMaxAge = 500 * time.Millisecond
+	// enterAfter is the time for which headroom has to be short before scarcity begins.
+	// It outlasts short peaks of a demand that fits; with 100 ms the worth of a long burst
+	// fell. leaveAfter is the time for which there has to be
+	// enough for all before scarcity ends; demand near the capacity crosses it often.
+	enterAfter = 60 * time.Millisecond
+	leaveAfter = 300 * time.Millisecond
+	// priorityExpiry is the time without arrivals after which a priority no longer counts.
+	priorityExpiry = 10 * time.Second
+	// runTimeWeight is the weight of a job in the mean run time of its priority.
+	runTimeWeight = 0.05
+	// rounding is the error of a sum of shares that still counts as a whole job.
+	rounding = 1e-9
+	// firstWaitShare, middleWaitShare and lastWaitShare are the shares of their slack that jobs
+	// of the most urgent priority, of the last one and of those between may be predicted to
+	// wait. More urgent work that arrives later lengthens a wait, and nothing overtakes the
+	// most urgent. What 0.5 leaves covers forecasts that are too short by half.
+	firstWaitShare, middleWaitShare, lastWaitShare = 0.5, 0.4, 0.2
+	// minRetryAfter is the shortest retry delay, before a random part is added.
+	minRetryAfter = 500 * time.Millisecond
+)
+
+// MinFloor is the smallest floor that may be set. Below it a queue would be starved.
+const MinFloor = 0.1
+
+// Settings are the limits of admission under scarcity.
+type Settings struct {
+	// Off disables it.
+	Off bool
+	// Floor is the share of its jobs that a queue keeps, however much urgent work there is.
+	Floor float64
+	// FullHeadroom is the headroom, as a share of the capacity, from which all jobs of the
+	// last priority are admitted; below it their share falls to nothing over Range. Each more
+	// urgent priority begins Step below the one after it.
+	FullHeadroom, Range, Step float64
+}
+
+// DefaultSettings returns the default limits.
+func DefaultSettings() Settings {
+	return Settings{Floor: 0.4, FullHeadroom: -0.1, Range: 0.2, Step: 0.4}
+}
+
+// Job is a job that arrives.
+type Job struct {
+	Queue    string
+	Priority int
+	// Expected is the expected run time of its longest task.
+	Expected time.Duration
+}
+
+// Verdict is a decision about a job and what it rests on.
+type Verdict struct {
+	Refuse bool
+	// RetryAfter is the retry delay of a refusal, before a random part is added.
+	RetryAfter time.Duration
+	// Headroom is the share of the capacity that is free less what waits, Share the share of
+	// the priority's jobs that is admitted.
+	Headroom, Share float64
+}
+
+// level is what is known of a priority.
+type level struct {
+	priority int
+	// expected is the mean expected run time of its jobs.
+	expected time.Duration
+	seenAt   time.Duration
+}
+
+// Controller decides for one service. It is not safe for concurrent use.
+type Controller struct {
+	settings Settings
+	// levels holds the priorities that have arrived, the most urgent first.
+	levels []level
+	// credits is the part of a job of each queue that was not admitted yet. Each job that is
+	// decided adds the share that is admitted, so that shares hold exactly and do not depend on
+	// the size of jobs.
+	credits map[string]float64
+	// learnedAt is when the controller begins to refuse; 0 means that nothing has arrived.
+	learnedAt time.Duration
+
+	snapshot   Snapshot
+	observedAt time.Duration
+	scarce     bool
+	// crossedAt is since when the headroom calls for the other state than scarce; 0 means that
+	// it does not.
+	crossedAt time.Duration
+}
+
+// New returns a controller that has seen no job and no report.
+func New(s Settings) *Controller { return &Controller{settings: s, credits: map[string]float64{}} }
+
+// ObservedAt returns the time of the last snapshot.
+func (c *Controller) ObservedAt() time.Duration { return c.observedAt }
+
+// Observe handles a new snapshot of the service's usable upstreams.
+// It reports whether scarcity has begun or ended.
+func (c *Controller) Observe(now time.Duration, s Snapshot) (changed bool) {
+	was := c.scarce
+	c.snapshot, c.observedAt = s, now
+	if len(c.levels) < 2 || s.Capacity <= 0 {
+		c.scarce, c.crossedAt = false, 0
+		return c.scarce != was
+	}
+	last := len(c.levels) - 1
+	short := c.headroom(last) < c.settings.FullHeadroom
+	switch {
+	case short == c.scarce:
+		c.crossedAt = 0
+	case c.crossedAt == 0:
+		c.crossedAt = now
+	case short && now-c.crossedAt >= enterAfter, !short && now-c.crossedAt >= leaveAfter:
+		c.scarce, c.crossedAt = short, 0
+	}
+	return c.scarce != was
+}
+
+// Arrived handles the arrival of a job, whether it is admitted or not.
+func (c *Controller) Arrived(now time.Duration, j Job) {
+	if c.learnedAt == 0 {
+		c.learnedAt = now + learnFor
+	}
+	l := c.level(now, j)
+	l.seenAt = now
+	l.expected += time.Duration(runTimeWeight * float64(j.Expected-l.expected))
+}
+
+// level returns the state of the job's priority, and drops those without arrivals.
+func (c *Controller) level(now time.Duration, j Job) *level {
+	i, found := slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
+	if found {
+		return &c.levels[i]
+	}
+	c.levels = slices.DeleteFunc(c.levels, func(l level) bool { return now-l.seenAt > priorityExpiry })
+	i, _ = slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
+	c.levels = slices.Insert(c.levels, i, level{priority: j.Priority, expected: j.Expected})
+	return &c.levels[i]
+}
+
+// Headroom returns the share of the service's capacity that is free, less what waits at any
+// priority, as of the last snapshot.
+func (c *Controller) Headroom() float64 {
+	if c.snapshot.Capacity <= 0 {
+		return 0
+	}
+	return c.headroom(len(c.levels) - 1)
+}
+
+// headroom returns the share of the capacity that is free, less what waits at the level and
+// above it.
+func (c *Controller) headroom(index int) float64 {
+	waiting := 0.0
+	for _, l := range c.levels[:index+1] {
+		waiting += c.snapshot.waiting(l.priority, l.expected)
+	}
+	return (float64(c.snapshot.Free) - waiting) / float64(c.snapshot.Capacity)
+}
+
+// share returns the share of a priority's jobs that is admitted now.
+func (c *Controller) share(now time.Duration, priority int) float64 {
+	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == priority })
+	if !c.Scarce(now) || i <= 0 {
+		return 1
+	}
+	full := c.settings.FullHeadroom - float64(len(c.levels)-1-i)*c.settings.Step
+	return min(max(1-(full-c.headroom(i))/c.settings.Range, c.settings.Floor), 1)
+}
+
+// Scarce reports whether the service is short of capacity.
+func (c *Controller) Scarce(now time.Duration) bool {
+	return !c.settings.Off && c.scarce && now >= c.learnedAt && now-c.observedAt <= snapshotMaxAge
+}
+
+// WaitShare returns the share of its slack that a job of the priority may be predicted to
+// wait, and false outside scarcity.
+func (c *Controller) WaitShare(now time.Duration, priority int) (share float64, ok bool) {
+	switch n := len(c.levels); {
+	case !c.Scarce(now):
+		return 0, false
+	case priority <= c.levels[0].priority:
+		return firstWaitShare, true
+	case priority < c.levels[n-1].priority:
+		return middleWaitShare, true
+	}
+	return lastWaitShare, true
+}
+
+// Judge decides about a job. It changes nothing, so that explanations use it as well.
+func (c *Controller) Judge(now time.Duration, j Job) Verdict {
+	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == j.Priority })
+	if i <= 0 || !c.Scarce(now) {
+		return Verdict{Share: 1}
+	}
+	v := Verdict{Headroom: c.headroom(i), Share: c.share(now, j.Priority)}
+	if c.credits[j.Queue]+v.Share < 1-rounding {
+		// The smaller the share, the later the next attempt, so that retries do not add to the
+		// demand in proportion to it. More urgent work has the larger share and is back sooner.
+		v.Refuse, v.RetryAfter = true, time.Duration(float64(minRetryAfter)/v.Share).Round(time.Millisecond)
+	}
+	return v
+}
+
+// Decided handles the decision about a job. Jobs that are refused for another reason do not
+// count.
+func (c *Controller) Decided(now time.Duration, j Job, admitted bool) {
+	credit := c.credits[j.Queue] + c.share(now, j.Priority)
+	if admitted {
+		credit--
+	}
+	c.credits[j.Queue] = min(max(credit, 0), 1)
+}
