--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -194,7 +194,7 @@
 			return false
 		}
 	}
-	limit := b.waitLimit(now, j)
+	limit := time.Duration(maxWaitShare * float64(j.slack()))
 	if t.acceptedToWait {
 		limit = j.startLimit()
 	}
--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -66,14 +66,3 @@
 		c.Decided(now, j.demand(), admitted)
 	}
 }
-
-// waitLimit returns the longest predicted wait with which a job is admitted.
-func (b *Broker) waitLimit(now time.Duration, j *job) time.Duration {
-	share := maxWaitShare
-	if c := b.scarcity[j.sub.Queue.Service]; c != nil {
-		if s, ok := c.WaitShare(now, j.sub.Queue.Priority); ok {
-			share = s
-		}
-	}
-	return time.Duration(share * float64(j.slack()))
-}
--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -37,11 +37,6 @@
 	runTimeWeight = 0.05
 	// rounding is the error of a sum of shares that still counts as a whole job.
 	rounding = 1e-9
-	// firstWaitShare, middleWaitShare and lastWaitShare are the shares of their slack that jobs
-	// of the most urgent priority, of the last one and of those between may be predicted to
-	// wait. More urgent work that arrives later lengthens a wait, and nothing overtakes the
-	// most urgent. What 0.5 leaves covers forecasts that are too short by half.
-	firstWaitShare, middleWaitShare, lastWaitShare = 0.5, 0.4, 0.2
 	// minRetryAfter is the shortest retry delay, before a random part is added.
 	minRetryAfter = 500 * time.Millisecond
 )
@@ -196,20 +191,6 @@
 	return !c.settings.Off && c.scarce && now >= c.learnedAt && now-c.observedAt <= snapshotMaxAge
 }
 
-// WaitShare returns the share of its slack that a job of the priority may be predicted to
-// wait, and false outside scarcity.
-func (c *Controller) WaitShare(now time.Duration, priority int) (share float64, ok bool) {
-	switch n := len(c.levels); {
-	case !c.Scarce(now):
-		return 0, false
-	case priority <= c.levels[0].priority:
-		return firstWaitShare, true
-	case priority < c.levels[n-1].priority:
-		return middleWaitShare, true
-	}
-	return lastWaitShare, true
-}
-
 // Judge decides about a job. It changes nothing, so that explanations use it as well.
 func (c *Controller) Judge(now time.Duration, j Job) Verdict {
 	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == j.Priority })
