Say in explanations where the random part decides between a rack and other capacity

Cause: an explanation named the candidates of one side of the rack decision only.

Change: the rack decision is repeated with the random part added to and taken from the rack; if that turns it, candidates of the other side are shown as possible winners.

--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -211,9 +211,12 @@
 	}
 	o = status.TaskOutlook{Index: t.index, ExpectedMS: explain.Milliseconds(t.expected)}
 	if rack != nil {
-		d := x.racks.Choose(rack, x.b.rackInput(x.now, t, sides), x.b.heldCPU(t))
+		in := x.b.rackInput(x.now, t, sides)
+		near := x.onRackIf(rack, in, t, 0)
+		narrow := detailed && (x.onRackIf(rack, in, t, placement.SpreadJitter) != near || x.onRackIf(rack, in, t, -placement.SpreadJitter) != near)
+		d := x.racks.Choose(rack, in, x.b.heldCPU(t))
 		best, p.hold = sides.Chosen(d)
-		found.ByRack(best.Agent != nil, rack.Near)
+		found.ByRack(best.Agent != nil, rack.Near, narrow)
 		o.Reason = d.Reason
 		if p.hold {
 			o.Decision = string(explain.Hold)
@@ -229,6 +232,15 @@
 	return o, p
 }
 
+// onRackIf reports whether a task would go to its rack if that had so much more of a random part
+// than other capacity.
+func (x *explanation) onRackIf(rack *locality.Task, in locality.Input, t *task, random time.Duration) bool {
+	r := *rack
+	in.Near.Penalty += random
+	d := x.racks.Choose(&r, in, x.b.heldCPU(t))
+	return d.Action == locality.NearNow || d.Action == locality.QueueNear
+}
+
 // excludedBecause names the condition behind a reason of assess.
 func (b *Broker) excludedBecause(now time.Duration, a *agent, t *task, excluded string) string {
 	switch {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,12 +49,15 @@
 	// byRack is whether the task waits for a rack or was decided to go there or not: only
 	// candidates with this onRack may win, and none if noWinner is set.
 	byRack, onRack, noWinner bool
+	// narrow is whether the random part may decide for the other side.
+	narrow bool
 }
 
 // ByRack notes the decision about a task that prefers a rack: whether it is placed, and if so
-// whether on its rack. The candidates there come first.
-func (c *Candidates) ByRack(placed, onRack bool) {
-	c.byRack, c.onRack, c.noWinner = true, onRack, !placed
+// whether on its rack, and whether the random part of the scores may turn that. The candidates
+// there come first.
+func (c *Candidates) ByRack(placed, onRack, narrow bool) {
+	c.byRack, c.onRack, c.noWinner, c.narrow = true, onRack, !placed, narrow
 }
 
 // eligible reports whether the decision about the rack leaves the candidate.
@@ -122,7 +125,12 @@
 	eligible := c.eligible(c.list[i])
 	out.Wins = i == 0 && eligible
 	scored.Random = -jitter
-	out.MayWin = i > 0 && eligible && scored.Better(c.list[0].Scored, within)
+	// The best candidate of each side comes first there.
+	first := 0
+	if !eligible {
+		first = slices.IndexFunc(c.list, func(x Candidate) bool { return !c.eligible(x) })
+	}
+	out.MayWin = !out.Wins && (eligible || c.narrow) && scored.Better(c.list[first].Scored, within)
 	return out
 }
 
