Call an evacuated data centre evacuated, not emptied

The text of platform status, which operators may read by program, keeps its words. Result: no behaviour changes; tests of internal/evacuation, agentlink, broker, runner and wire pass, the others compile (go vet). Conclusion: one term.

--- a/internal/agentlink/agentlink.go
+++ b/internal/agentlink/agentlink.go
@@ -67,7 +67,7 @@
 	Service string
 	// CapacityCPU and CapacityMem are the last known capacity of the upstream.
 	CapacityCPU, CapacityMem int
-	// Evacuated is whether the agent's data centre is being emptied, as this entry knows.
+	// Evacuated is whether the agent's data centre is being evacuated, as this entry knows.
 	Evacuated bool
 	// EvacuationsSentAt is when the agent was last told of evacuations on this link; 0
 	// means never.
@@ -99,7 +99,7 @@
 }
 
 // Present reports whether the agent's link and upstream are in order, and its data centre
-// is not being emptied.
+// is not being evacuated.
 func (a *Agent) Present(now time.Duration, l *Limits) bool {
 	return a.View.Load.Ready && !a.Evacuated && a.InOrder(now, l)
 }
--- a/internal/agentlink/need.go
+++ b/internal/agentlink/need.go
@@ -47,7 +47,7 @@
 }
 
 // OnlyEvacuated reports whether upstreams could run a task, but all are in data centres that are
-// being emptied.
+// being evacuated.
 func OnlyEvacuated(agents iter.Seq[*Agent], now time.Duration, l *Limits, n Need) bool {
 	found := false
 	for a := range agents {
--- a/internal/broker/evacuation.go
+++ b/internal/broker/evacuation.go
@@ -10,7 +10,7 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// An entry places nothing in a data centre that operators are emptying. The free capacity
+// An entry places nothing in a data centre that operators are evacuating. The free capacity
 // there no longer counts, so admission follows the capacity that is left at once. The entry
 // passes its knowledge on to its agents, which make the last check before a start.
 
@@ -36,7 +36,7 @@
 	b.placeUnplaced(now)
 }
 
-// evacuationChanged takes back the tasks that wait in a data centre that is being emptied.
+// evacuationChanged takes back the tasks that wait in a data centre that is being evacuated.
 func (b *Broker) evacuationChanged(now time.Duration, c evacuation.Change) {
 	waiting, running := 0, 0
 	for _, a := range b.agentList {
@@ -88,7 +88,7 @@
 }
 
 // onlyEvacuated reports whether upstreams could run the task, but all are in data centres
-// that are being emptied.
+// that are being evacuated.
 func (b *Broker) onlyEvacuated(now time.Duration, t *task) bool {
 	return agentlink.OnlyEvacuated(b.links(), now, &b.settings.Limits, t.need())
 }
@@ -100,7 +100,7 @@
 }
 
 // evacuatedRetryAfter is the delay given to callers while all data centres are being
-// emptied.
+// evacuated.
 const evacuatedRetryAfter = 3 * time.Second
 
 // maxUnawareHosts bounds the hosts that the state of an evacuation names.
--- a/internal/broker/evacuation_failures_test.go
+++ b/internal/broker/evacuation_failures_test.go
@@ -9,14 +9,14 @@
 )
 
 // Guards against a run that is started again elsewhere, or refused as not run, because its
-// data centre is being emptied and the reports of its start and end are late or lost.
+// data centre is being evacuated and the reports of its start and end are late or lost.
 func TestRunWithLateReportsSurvivesEvacuation(t *testing.T) {
-	for _, emptied := range [][]string{{"dc-a"}, {"dc-a", "dc-b"}} {
+	for _, evacuated := range [][]string{{"dc-a"}, {"dc-a", "dc-b"}} {
 		g := newEvacuable(t, "dc-a", "dc-b")
 		g.b.settings.DataCentre = "dc-a"
 		g.submit("j", 1, 1)
 		assigned := messages[wire.Assign](g.takeEffects())
-		g.evacuate(1, emptied...)
+		g.evacuate(1, evacuated...)
 		check := func(when string) {
 			t.Helper()
 			g.b.Tick(g.now)
@@ -42,7 +42,7 @@
 		check("link replaced")
 		g.report(assigned[0], wire.RunDone, "")
 		if got := answers(g.takeEffects()); len(got) != 1 || got[0].Outcome.Kind != Completed {
-			t.Errorf("evacuation of %v: answers %+v, want completed", emptied, got)
+			t.Errorf("evacuation of %v: answers %+v, want completed", evacuated, got)
 		}
 	}
 }
--- a/internal/broker/evacuation_test.go
+++ b/internal/broker/evacuation_test.go
@@ -33,7 +33,7 @@
 	g.b.Evacuations(g.now, u)
 }
 
-// Guards against tasks that are sent to a data centre that is being emptied, before and
+// Guards against tasks that are sent to a data centre that is being evacuated, before and
 // after its agents report so, and against jobs that are refused meanwhile although the
 // other data centres have free capacity.
 func TestNothingIsPlacedInEvacuatedDataCentre(t *testing.T) {
@@ -65,7 +65,7 @@
 	}
 }
 
-// Guards against tasks that wait in a data centre that is being emptied until their job is
+// Guards against tasks that wait in a data centre that is being evacuated until their job is
 // refused: they move, and the run that goes on is left alone.
 func TestWaitingTasksLeaveEvacuatedDataCentre(t *testing.T) {
 	g := newEvacuable(t, "dc-a", "dc-b")
@@ -91,7 +91,7 @@
 }
 
 // Guards against jobs that are held until their start limit while all data centres are being
-// emptied: they are refused at once, and the entry stays ready to say so.
+// evacuated: they are refused at once, and the entry stays ready to say so.
 func TestJobsAreRefusedAtOnceWhileAllIsEvacuated(t *testing.T) {
 	g := newEvacuable(t, "dc-a", "dc-b")
 	g.evacuate(1, "dc-a", "dc-b")
--- a/internal/broker/locality_test.go
+++ b/internal/broker/locality_test.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// Guards against a task that waits for a rack whose data centre is being emptied.
+// Guards against a task that waits for a rack whose data centre is being evacuated.
 func TestHeldTaskLeavesAnEvacuatedRack(t *testing.T) {
 	g := newRackRig(t)
 	g.holdJob("j")
--- a/internal/brokerapi/settings.go
+++ b/internal/brokerapi/settings.go
@@ -27,7 +27,7 @@
 	// ResumeDelay is the time without new commands after a pause of the process, in
 	// which the broker learns which callers have left.
 	ResumeDelay time.Duration
-	// EvacuateWithin is the time from an operator's request to empty a data centre after
+	// EvacuateWithin is the time from an operator's request to evacuate a data centre after
 	// which no task may start there; 0 means that there are no such requests.
 	EvacuateWithin time.Duration
 	// Preemption are the limits of stops for more urgent work.
--- a/internal/evacuation/entry.go
+++ b/internal/evacuation/entry.go
@@ -8,7 +8,7 @@
 
 const (
 	// sendInterval is the time between two messages about evacuations to an agent. It
-	// is a small part of the time within which a data centre has to be empty.
+	// is a small part of the time within which a data centre has to be evacuated.
 	sendInterval = time.Second
 	// QueryTimeout bounds the wait for news of evacuations after a pause of the
 	// process. The store answers within a few milliseconds, unless it is out of reach, and
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -1,4 +1,4 @@
-// Package evacuation tracks which data centres operators are emptying. No task may
+// Package evacuation tracks which data centres operators are evacuating. No task may
 // start in such a data centre until the operator's request is withdrawn.
 //
 // Entries learn the requests from the platform's store and pass them on to agents. The
@@ -66,13 +66,13 @@
 // Age returns the time since the state that the tracker holds was certainly current.
 func (t *Tracker) Age(now time.Duration) time.Duration { return now - t.asOf }
 
-// Evacuated reports whether the data centre is being emptied.
+// Evacuated reports whether the data centre is being evacuated.
 func (t *Tracker) Evacuated(dataCentre string) bool {
 	_, ok := t.requests[dataCentre]
 	return ok
 }
 
-// Empty reports whether no data centre is being emptied.
+// Empty reports whether no data centre is being evacuated.
 func (t *Tracker) Empty() bool { return len(t.requests) == 0 }
 
 // Requests returns the requests in force, ordered by data centre.
--- a/internal/leased/evacuation.go
+++ b/internal/leased/evacuation.go
@@ -18,7 +18,7 @@
 	"github.com/damasklb/damasklb/internal/status"
 )
 
-// EvacuationOptions describes the operators' requests to empty a data centre. The zero
+// EvacuationOptions describes the operators' requests to evacuate a data centre. The zero
 // value means that there are none.
 type EvacuationOptions struct {
 	// Prefix is the prefix of the keys of requests; the rest is the data centre.
@@ -55,7 +55,7 @@
 		}
 		if !r.Deleted && !json.Valid(r.Value) {
 			// The key alone names the data centre. Starting tasks against the operator's
-			// will is worse than emptying a data centre for a damaged request.
+			// will is worse than evacuating a data centre for a damaged request.
 			unreadableEvacuations.Inc()
 			log.Warn("content of evacuation request is not valid; acting on its key", "data_centre", dc, "row_version", r.Version)
 		}
--- a/internal/leasetest/evacuation_test.go
+++ b/internal/leasetest/evacuation_test.go
@@ -23,7 +23,7 @@
 	storeLatency      = 5 * time.Millisecond
 )
 
-// evacuationStore holds the operators' requests to empty a data centre. A nil store is
+// evacuationStore holds the operators' requests to evacuate a data centre. A nil store is
 // one without requests.
 type evacuationStore struct {
 	w        *world
@@ -155,7 +155,7 @@
 	}
 }
 
-// overdue reports whether the data centre should be empty of new work by now.
+// overdue reports whether the data centre should get no new work by now.
 func (s *evacuationStore) overdue(dc string, p *storePath) bool {
 	r, ok := s.requests[dc]
 	return ok && s.w.now-r.Since > evacuateWithin && s.w.now-p.disturbedAt > contactTime
@@ -166,13 +166,13 @@
 	if s == nil || !s.overdue(s.w.dataCentre(host), &s.w.agents[host].storePath) {
 		return
 	}
-	s.w.failf("task %v starts in %s, which is being emptied", id.Task, s.w.dataCentre(host))
+	s.w.failf("task %v starts in %s, which is being evacuated", id.Task, s.w.dataCentre(host))
 }
 
 // checkAssign checks that an entry does not send a task to where it must not start.
 func (s *evacuationStore) checkAssign(e *entry, a *agent) {
 	if s != nil && s.overdue(s.w.dataCentre(a.index), &e.storePath) {
-		s.w.failf("entry %d sends a task to %s, which is being emptied", e.index, s.w.dataCentre(a.index))
+		s.w.failf("entry %d sends a task to %s, which is being evacuated", e.index, s.w.dataCentre(a.index))
 	}
 }
 
@@ -225,7 +225,7 @@
 // evacuationSeeds is the number of seeds of the random simulations with evacuations.
 const evacuationSeeds = 150
 
-// Guards against starts in a data centre that operators are emptying, under kills, pauses,
+// Guards against starts in a data centre that operators are evacuating, under kills, pauses,
 // cuts from the store, stale reads, silent and delayed links and late commands.
 func TestEvacuationsUnderRandomFailures(t *testing.T) {
 	t.Parallel()
--- a/internal/reasons/reasons.go
+++ b/internal/reasons/reasons.go
@@ -18,7 +18,7 @@
 	TooLate = "too-late"
 	// TrialLimit is the reason for refusing a suspect because of another one.
 	TrialLimit = "trial-limit"
-	// Evacuated is the reason for not running a task in a data centre that is being emptied.
+	// Evacuated is the reason for not running a task in a data centre that is being evacuated.
 	Evacuated = "evacuated"
 )
 
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -7,10 +7,10 @@
 )
 
 // The agent makes the last check before a start: nothing starts in a data centre that it
-// knows to be emptied. It learns the requests from its entries. If none of them has told it
+// knows to be evacuated. It learns the requests from its entries. If none of them has told it
 // anything recent, as when they are all cut off from the store, it asks the store itself.
 // While the store does not answer either, tasks are started: a lost store must not stop the
-// service, and the time within which a data centre has to be empty does not run then.
+// service, and the time within which a data centre has to be evacuated does not run then.
 const (
 	// evacuationQueryMargin is what is left of EvacuateWithin when the agent begins to ask
 	// the store. It covers a lost answer and a second try.
@@ -24,13 +24,13 @@
 )
 
 // reasonEvacuated is the reason for not starting a task in a data centre that is being
-// emptied.
+// evacuated.
 const reasonEvacuated = "evacuated"
 
 // QueryEvacuations asks for the evacuation requests in the store.
 type QueryEvacuations struct{ Age time.Duration }
 
-// EvacuationChanged reports, for the log, that the upstream's data centre is being emptied
+// EvacuationChanged reports, for the log, that the upstream's data centre is being evacuated
 // or no longer.
 type EvacuationChanged struct {
 	Evacuated bool
@@ -40,11 +40,11 @@
 	Running, Returned int
 }
 
-// evacuated reports whether the upstream's data centre is being emptied.
+// evacuated reports whether the upstream's data centre is being evacuated.
 func (r *Runner) evacuated() bool { return r.evacuations.Evacuated(r.settings.DataCentre) }
 
 // Evacuations handles news about evacuation requests. Waiting tasks are returned to their
-// entries if the upstream's data centre is being emptied; runs go on to their end.
+// entries if the upstream's data centre is being evacuated; runs go on to their end.
 func (r *Runner) Evacuations(now time.Duration, u evacuation.Update) {
 	if r.settings.EvacuateWithin == 0 {
 		return
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -25,7 +25,7 @@
 	r.Evacuations(now, u)
 }
 
-// Guards against starts in a data centre that is being emptied: of tasks that wait, of those
+// Guards against starts in a data centre that is being evacuated: of tasks that wait, of those
 // that arrive, and of those that entries without the news send; runs go on.
 func TestNothingStartsInEvacuatedDataCentre(t *testing.T) {
 	r := newEvacuable(t)
@@ -58,7 +58,7 @@
 }
 
 // Guards against a data centre that stays empty after it was taken back, and against an old
-// message that empties it again.
+// message that evacuates it again.
 func TestTakenBackDataCentreGetsTasksAtOnce(t *testing.T) {
 	r := newEvacuable(t)
 	evacuate(r, begin, 3, "dc")
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,7 +60,7 @@
 	EndedRetention time.Duration
 	// DataCentre is the data centre of the upstream.
 	DataCentre string
-	// EvacuateWithin is the time from an operator's request to empty a data centre after
+	// EvacuateWithin is the time from an operator's request to evacuate a data centre after
 	// which no task may start there; 0 means that there are no such requests.
 	EvacuateWithin time.Duration
 	// NoSpeed keeps the agent from reporting the speed of its type of host.
@@ -280,7 +280,7 @@
 }
 
 // ready reports whether the upstream may be assigned tasks: it is in order, and its data
-// centre is not being emptied.
+// centre is not being evacuated.
 func (r *Runner) ready() bool { return r.inOrder() && !r.evacuated() }
 
 // inOrder reports whether the upstream is in order. The free capacity is unknown before
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -140,7 +140,7 @@
 	Requests []Evacuation `cbor:"3,keyasint,omitempty"`
 }
 
-// Evacuation is an operator's request to empty a data centre. Version is the store's
+// Evacuation is an operator's request to evacuate a data centre. Version is the store's
 // version of the request.
 type Evacuation struct {
 	DataCentre string `cbor:"1,keyasint"`
