--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,9 +94,9 @@
 	partitionMap *membership.Map
 	links        map[string]*transport.Link
 	diallers     *transport.Diallers
-	// evacuationsHeard is when the ping was sent whose answer last told of evacuations, and
-	// evacuationsAsked when the entries were last asked for them.
-	evacuationsHeard, evacuationsAsked time.Duration
+	// evacuationsCurrentAt is when the ping was sent whose answer last held the evacuation
+	// requests, and evacuationsAskedAt when the entries were last asked for them.
+	evacuationsCurrentAt, evacuationsAskedAt time.Duration
 }
 
 // Start starts an agent. It registers in the table and dials the entries in the
--- a/internal/agent/evacuation.go
+++ b/internal/agent/evacuation.go
@@ -15,7 +15,8 @@
 const (
 	// evacuationAskAge is the time after which the entries are asked again. Idle links are
 	// pinged every 8 s, so this concerns only links with steady traffic, which need no ping.
-	evacuationAskAge   = 10 * time.Second
+	evacuationAskAge = 10 * time.Second
+	// evacuationAskRetry is the time between two such pings while no answer holds the requests.
 	evacuationAskRetry = 2 * time.Second
 )
 
@@ -28,12 +29,12 @@
 	if v == nil {
 		return
 	}
-	a.evacuationsHeard = max(a.evacuationsHeard, sentAfter)
+	a.evacuationsCurrentAt = max(a.evacuationsCurrentAt, sentAfter)
 	a.applyEvacuations(now, evacuation.FromView(sentAfter, v))
 }
 
-// applyEvacuations applies news of the requests, and tells the entries of a new version at
-// once: the version in the ping shows them that this agent has it in force.
+// applyEvacuations applies an update of the requests, and pings the entries after a new version
+// at once: the version in the ping shows them that this agent has it in force.
 func (a *Agent) applyEvacuations(now ledger.Instant, u evacuation.Update) {
 	for _, c := range a.core.Evacuations(now, u) {
 		if c.DataCentre == a.opts.DataCentre {
@@ -53,12 +54,12 @@
 	}
 }
 
-// askForEvacuations pings the entries if none has told of the requests for some time.
+// askForEvacuations pings the entries if none has sent the requests for some time.
 func (a *Agent) askForEvacuations(now time.Duration) {
-	if now-a.evacuationsHeard < evacuationAskAge || now-a.evacuationsAsked < evacuationAskRetry {
+	if now-a.evacuationsCurrentAt < evacuationAskAge || now-a.evacuationsAskedAt < evacuationAskRetry {
 		return
 	}
-	a.evacuationsAsked = now
+	a.evacuationsAskedAt = now
 	a.pingAll()
 }
 
--- a/internal/agentlink/agentlink.go
+++ b/internal/agentlink/agentlink.go
@@ -69,7 +69,7 @@
 	CapacityCPU, CapacityMem int
 	// Evacuated is whether the agent's data centre is being evacuated, as this entry knows.
 	Evacuated bool
-	// EvacuationsSentAt is when the agent was last told of evacuations on this link; 0
+	// EvacuationsSentAt is when the agent was last sent the evacuations on this link; 0
 	// means never.
 	EvacuationsSentAt time.Duration
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -52,7 +52,7 @@
 	scarcity map[string]*scarcity.Controller
 	// racks decides for the tasks that prefer a rack.
 	racks *locality.Racks
-	// timeouts tells how long callers have waited before they submitted a job.
+	// timeouts estimates how long callers have waited before they submitted a job.
 	timeouts timeouts.Usual
 
 	evacuations evacuation.EntryTracker
--- a/internal/broker/evacuation.go
+++ b/internal/broker/evacuation.go
@@ -14,7 +14,7 @@
 // there no longer counts, so admission follows the capacity that is left at once. The entry
 // passes its knowledge on to its agents, which make the last check before a start.
 
-// Evacuations handles news about evacuation requests.
+// Evacuations handles an update of the evacuation requests.
 func (b *Broker) Evacuations(now time.Duration, u evacuation.Update) {
 	if b.settings.EvacuateWithin == 0 {
 		return
--- a/internal/broker/evacuation_failures_test.go
+++ b/internal/broker/evacuation_failures_test.go
@@ -85,7 +85,7 @@
 	g.b.Heartbeat(g.now, g.agents["b1"], wire.AgentBeat{ClockMS: 1, Relaxed: true, Load: load(10_000)})
 	g.now += agentArrivalWindow
 	g.b.Tick(g.now)
-	told, tasks := false, 0
+	informed, tasks := false, 0
 	for _, e := range g.takeEffects() {
 		s, ok := e.(Send)
 		if !ok {
@@ -93,9 +93,9 @@
 		}
 		switch m := s.Message.(type) {
 		case *wire.EntryBeat:
-			told = told || m.Evacuations != nil
+			informed = informed || m.Evacuations != nil
 		case *wire.Assign:
-			if tasks++; !told {
+			if tasks++; !informed {
 				t.Error("a task is sent before the requests")
 			}
 		}
--- a/internal/broker/evacuation_test.go
+++ b/internal/broker/evacuation_test.go
@@ -39,14 +39,14 @@
 func TestNothingIsPlacedInEvacuatedDataCentre(t *testing.T) {
 	g := newEvacuable(t, "dc-a", "dc-b")
 	g.evacuate(1, "dc-a")
-	told := 0
+	informed := 0
 	for _, m := range messages[wire.EntryBeat](g.takeEffects()) {
 		if e := m.message.Evacuations; e != nil && len(e.Requests) == 1 && e.Requests[0].DataCentre == "dc-a" {
-			told++
+			informed++
 		}
 	}
-	if told != 2 {
-		t.Errorf("%d agents were told at once, want 2", told)
+	if informed != 2 {
+		t.Errorf("%d agents were informed at once, want 2", informed)
 	}
 	g.submit("j", 1, 2)
 	effects := g.takeEffects()
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -9,8 +9,8 @@
 )
 
 // Tasks that crash their upstreams. All runs that an upstream had when it crashed are
-// suspects: they run again apart from each other, so that the next crash tells which one it
-// was, and a poison job ends as failed.
+// suspects: they run again apart from each other, so that the next crash
+// identifies the one at fault, and a poison job ends as failed.
 
 // maxLostRuns is the number of runs of a task whose end is unknown after which its job is given
 // up.
@@ -79,7 +79,7 @@
 	b.CrashReported(now, earlier.ID.Host, c)
 }
 
-// giveUpSuspect gives a job up that has crashed an upstream, most likely. The evidence is
+// giveUpSuspect gives a job up that has probably crashed an upstream. The evidence is
 // too weak to call the job failed.
 func (b *Broker) giveUpSuspect(now time.Duration, j *job) bool {
 	if !quarantine.GiveUpSuspect(now, b.poison, j.sub.Queue.Name, j.sub.ID, len(j.tasks)) {
@@ -126,7 +126,7 @@
 		case o.job != t.job:
 			other = max(other, trial)
 		case trial != wire.TrialNone:
-			// The load does not tell whose suspects there are.
+			// The load does not say whose suspects there are.
 			return true, penalty
 		}
 	}
--- a/internal/cli/ctl_evacuate.go
+++ b/internal/cli/ctl_evacuate.go
@@ -65,7 +65,7 @@
 }
 
 // notifyOfEvacuation has an entry read the table at once, if --entry-url is set. That entry
-// tells all others. If it fails, the entries read the table within seconds.
+// informs all others. If it fails, the entries read the table within seconds.
 func (f *ctlFlags) notifyOfEvacuation(ctx context.Context, store *configstore.Store) {
 	if f.entryURLs == "" {
 		return
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -31,9 +31,9 @@
 func TestExplanationsChangeNoDecision(t *testing.T) {
 	for seed := range uint64(20) {
 		asked, plain := newModel(t), newModel(t)
-		play := rand.New(rand.NewPCG(seed, 1))
+		rng := rand.New(rand.NewPCG(seed, 1))
 		for i := range 400 {
-			op := play.IntN(100_000)
+			op := rng.IntN(100_000)
 			request := AdmitRequest{Caller: "c" + strconv.Itoa(op%3), Class: "echo", Tasks: 1 + op%140, Deadline: asked.now + time.Duration(op%3000)*ms}
 			if !asked.step(op) || !plain.step(op) {
 				t.Fatalf("seed %d: operation %d failed", seed, i)
@@ -58,9 +58,9 @@
 	starts := 0
 	for seed := range uint64(20) {
 		m := newModel(t)
-		play := rand.New(rand.NewPCG(seed, 2))
+		rng := rand.New(rand.NewPCG(seed, 2))
 		for i := range 400 {
-			op := play.IntN(100_000)
+			op := rng.IntN(100_000)
 			if !m.step(op) {
 				t.Fatalf("seed %d: operation %d failed", seed, i)
 			}
--- a/internal/e2e/evacuation_test.go
+++ b/internal/e2e/evacuation_test.go
@@ -181,7 +181,7 @@
 	for _, name := range []string{"damasklb_evacuation_requests_unknown_total", "damasklb_evacuation_requests_unreadable_total"} {
 		for i := range r.Entries {
 			if n, err := r.Metric(i, name); err != nil || n != 1 {
-				t.Errorf("entry %d: %s %v, %v: each row is reported once by each entry, also by one that heard of it from another", i, name, n, err)
+				t.Errorf("entry %d: %s %v, %v: each row is reported once by each entry, also by one that received it from another", i, name, n, err)
 			}
 		}
 	}
@@ -196,7 +196,7 @@
 	drain(t, r, "west", "--undo")
 }
 
-// Guards against an agent that never learns of a request because no entry can tell it, and
+// Guards against an agent that never learns of a request because no entry can send it, and
 // against entries that are resumed with old knowledge and start tasks at such an agent.
 func TestAgentsAskTheTableWithoutEntries(t *testing.T) {
 	t.Parallel()
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// applyEvacuations applies news of the requests. A new version is passed on at once to all
-// linked processes. rows is what was read from the table, if the news comes from there.
+// applyEvacuations applies an update of the requests. A new version is passed on at once to all
+// linked processes. rows is what was read from the table, if the update comes from there.
 func (e *Entry) applyEvacuations(now time.Duration, u evacuation.Update, rows *configstore.Evacuations) {
 	before := e.evacuations.Load()
 	changes := e.core.Evacuations(now, u)
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Guards against a restarted process that takes what it is told for younger than it is, and
+// Guards against a restarted process that takes a received state for younger than it is, and
 // so asks the store too late: the view of a sender that is cut off from the store may be
 // older than the process.
 func TestViewOlderThanTheProcessIsOld(t *testing.T) {
--- a/internal/leased/evacuation_test.go
+++ b/internal/leased/evacuation_test.go
@@ -120,7 +120,7 @@
 		return a.core.Load(a.now(), runner.EntryID{}).Ready
 	}
 	f.write("op/evacuate/dc", `{"damaged`, false)
-	eventually(t, "the agent is not told", func() bool { return !agentReady() })
+	eventually(t, "the agent does not know the request", func() bool { return !agentReady() })
 	states, age := e.Evacuations()
 	if len(states) != 1 || states[0].DataCentre != "dc" || states[0].Agents != 1 || age > 5*time.Second {
 		t.Errorf("states %+v, age %v", states, age)
@@ -132,7 +132,7 @@
 		t.Error("the entry is not ready to refuse")
 	}
 	f.write("op/evacuate/dc", "", true)
-	eventually(t, "the agent is not told of the end", agentReady)
+	eventually(t, "the agent does not know the withdrawal", agentReady)
 	eventually(t, "jobs are not served again", func() bool { return run(t, e, "j3").Kind == broker.Completed })
 	if !text.contains("unknown data centre") || !text.contains("acting on its key") {
 		t.Error("bad requests are not logged")
--- a/internal/ledger/evacuation.go
+++ b/internal/ledger/evacuation.go
@@ -30,7 +30,7 @@
 // EvacuationVersion returns the version of the requests that the agent knows.
 func (l *Ledger) EvacuationVersion() uint64 { return l.evacuations.Version() }
 
-// Evacuations handles news of evacuation requests and returns the changes that took
+// Evacuations handles an update of the evacuation requests and returns the changes that took
 // effect. It withdraws the credits of all entries while the agent's data centre is being
 // evacuated; running tasks go on to their end.
 func (l *Ledger) Evacuations(now Instant, u evacuation.Update) []evacuation.Change {
--- a/internal/ledger/evacuation_test.go
+++ b/internal/ledger/evacuation_test.go
@@ -46,7 +46,7 @@
 	if left == 0 || credit.remaining != 0 {
 		t.Errorf("credit %d before and %d after the request", left, credit.remaining)
 	}
-	// An entry without the news sends on the credit that it had.
+	// An entry without the update sends on the credit that it had.
 	credit.remaining = 1
 	if got := startOf(l, 0, "a", 3); got != wire.ReasonEvacuated {
 		t.Errorf("start in an evacuated data centre: %q", got)
@@ -86,7 +86,7 @@
 	}
 	run(0, 15*time.Second)
 	if queries != 0 {
-		t.Errorf("%d queries although entries told of the requests", queries)
+		t.Errorf("%d queries although entries sent the requests", queries)
 	}
 	run(15*time.Second, 75*time.Second)
 	if queries < 4 || queries > 8 {
--- a/internal/owner/evacuation.go
+++ b/internal/owner/evacuation.go
@@ -11,7 +11,7 @@
 // KnownEvacuations returns a copy of what the entry knows of evacuations.
 func (c *Core) KnownEvacuations() *evacuation.Tracker { return c.evacuations.Clone() }
 
-// Evacuations handles news of evacuation requests and returns the changes that took
+// Evacuations handles an update of the evacuation requests and returns the changes that took
 // effect. The upstreams of an evacuated data centre are withdrawn from the policy, so that
 // nothing is placed there and admission counts on what is left; slots that wait there for
 // this entry's tasks are returned. Running tasks go on to their end.
--- a/internal/poison/caution.go
+++ b/internal/poison/caution.go
@@ -137,11 +137,11 @@
 func (d *Detector) CautionChanges(now time.Duration) []CautionChange {
 	var out []CautionChange
 	for _, queue := range d.Queues() {
-		if c := d.Caution(now, queue); c != d.told[queue] {
+		if c := d.Caution(now, queue); c != d.reported[queue] {
 			out = append(out, CautionChange{Queue: queue, Caution: c})
-			d.told[queue] = c
+			d.reported[queue] = c
 			if c == Unrestricted {
-				delete(d.told, queue)
+				delete(d.reported, queue)
 			}
 		}
 	}
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -100,13 +100,13 @@
 	order   []*crash
 	jobs    map[string]*jobRecord
 	queues  map[string]*queueRecord
-	// told holds the cautions that CautionChanges has returned.
-	told map[string]Caution
+	// reported holds the cautions that CautionChanges has returned.
+	reported map[string]Caution
 }
 
 // New returns an empty ledger.
 func New() *Detector {
-	return &Detector{crashes: map[CrashID]*crash{}, jobs: map[string]*jobRecord{}, queues: map[string]*queueRecord{}, told: map[string]Caution{}}
+	return &Detector{crashes: map[CrashID]*crash{}, jobs: map[string]*jobRecord{}, queues: map[string]*queueRecord{}, reported: map[string]Caution{}}
 }
 
 // Add handles a report of a crash at the time at, and returns whether the crash is new and
--- a/internal/protocoltest/evacuation_test.go
+++ b/internal/protocoltest/evacuation_test.go
@@ -108,7 +108,7 @@
 	if v == nil {
 		return
 	}
-	a.sim.check.heard(a, v)
+	a.sim.check.received(a, v)
 	a.core.Evacuations(a.time(), evacuation.FromView(sentAfter, v))
 }
 
@@ -123,13 +123,13 @@
 		for _, c := range u.Changes {
 			v.Requests = append(v.Requests, wire.Evacuation{DataCentre: c.DataCentre, Version: c.Version})
 		}
-		a.sim.check.heard(a, v)
+		a.sim.check.received(a, v)
 		a.core.Evacuations(a.time(), u)
 	})
 }
 
-// heard records the newest state that has reached an agent.
-func (c *checker) heard(a *agentProc, v *wire.Evacuations) {
+// received records the newest state that has reached an agent.
+func (c *checker) received(a *agentProc, v *wire.Evacuations) {
 	if old := c.evacuations[a.id]; old == nil || v.Version >= old.Version {
 		c.evacuations[a.id] = v
 	}
--- a/internal/quarantine/giveup.go
+++ b/internal/quarantine/giveup.go
@@ -7,10 +7,10 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// trialPatience is how long a suspect may wait for an upstream that may run it.
-const trialPatience = 300 * time.Millisecond
+// maxTrialWait is how long a suspect may wait for an upstream that may run it.
+const maxTrialWait = 300 * time.Millisecond
 
-// GiveUpSuspect reports whether a job is given up that has crashed an upstream, most likely: its
+// GiveUpSuspect reports whether a job is given up that has probably crashed an upstream: its
 // queue is quarantined, and no other job of the queue was under the crash, or a task of the job
 // was under two. Another run would take one more of the few upstreams that the queue has.
 func GiveUpSuspect(now time.Duration, d *poison.Detector, queue, job string, tasks int) bool {
@@ -32,5 +32,5 @@
 	if d.Caution(now, t.Queue) != poison.Quarantined && trial != wire.TrialAlone {
 		return false, false
 	}
-	return waited >= trialPatience, trial != wire.TrialNone
+	return waited >= maxTrialWait, trial != wire.TrialNone
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,10 +1,10 @@
 // Package quarantine decides where tasks run that may crash their upstreams. It handles loads in
 // which a few jobs crash each upstream that runs them: the suspects of a crash run apart from
-// each other, so that the next crash tells which one it was, and a queue with several poison
+// each other, so that the next crash identifies the one at fault, and a queue with several poison
 // jobs gets a few upstreams, the quarantine, which the other queues avoid. However many of its
 // jobs crash their upstreams, the others stay up.
 //
-// The package has no clock and no random source; package poison tells which jobs are suspects.
+// The package has no clock and no random source; package poison decides which jobs are suspects.
 package quarantine
 
 import (
@@ -26,7 +26,7 @@
 // Upstream is an upstream of a service.
 type Upstream struct {
 	Host string
-	// Index is the caller's own.
+	// Index identifies the upstream to the caller of this package.
 	Index int
 	// CapacityCPU is the last known capacity, UsedCPU the part in use now if the upstream is
 	// Present.
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -35,7 +35,7 @@
 }
 
 // Trial returns how the task has to run if upstreams have crashed under it, and for how long it
-// stays a suspect. The suspects of a first crash are many, and all but one innocent: they are
+// stays a suspect. Of the many suspects of a first crash, usually one is at fault: they are
 // only spread, unless other jobs of their queue are poison.
 func (t *Task) Trial(now time.Duration, d *poison.Detector) (wire.Trial, time.Duration) {
 	crashes, age := d.Suspicion(t.ID)
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -7,8 +7,8 @@
 )
 
 // The agent makes the last check before a start: nothing starts in a data centre that it
-// knows to be evacuated. It learns the requests from its entries. If none of them has told it
-// anything recent, as when they are all cut off from the store, it asks the store itself.
+// knows to be evacuated. It learns the requests from its entries. If none of them has sent
+// a recent state, as when they are all cut off from the store, it asks the store itself.
 // While the store does not answer either, tasks are started: a lost store must not stop the
 // service, and the time within which a data centre has to be evacuated does not run then.
 const (
@@ -43,7 +43,7 @@
 // evacuated reports whether the upstream's data centre is being evacuated.
 func (r *Runner) evacuated() bool { return r.evacuations.Evacuated(r.settings.DataCentre) }
 
-// Evacuations handles news about evacuation requests. Waiting tasks are returned to their
+// Evacuations handles an update of the evacuation requests. Waiting tasks are returned to their
 // entries if the upstream's data centre is being evacuated; runs go on to their end.
 func (r *Runner) Evacuations(now time.Duration, u evacuation.Update) {
 	if r.settings.EvacuateWithin == 0 {
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -26,7 +26,7 @@
 }
 
 // Guards against starts in a data centre that is being evacuated: of tasks that wait, of those
-// that arrive, and of those that entries without the news send; runs go on.
+// that arrive, and of those that entries without the update send; runs go on.
 func TestNothingStartsInEvacuatedDataCentre(t *testing.T) {
 	r := newEvacuable(t)
 	for _, job := range []string{"runs", "runs2", "waits"} {
@@ -65,7 +65,7 @@
 	r.TakeEffects()
 	evacuate(r, begin, 4)
 	if ready := effects[ReadyChanged](r); len(ready) == 0 || !ready[len(ready)-1].Ready {
-		t.Errorf("entries are not told at once: %+v", ready)
+		t.Errorf("entries are not sent a report at once: %+v", ready)
 	}
 	evacuate(r, begin, 3, "dc")
 	assign(r, begin, entryA, "j", nil)
@@ -129,7 +129,7 @@
 	}
 }
 
-// Guards against an agent that asks the store although its entries tell it enough.
+// Guards against an agent that asks the store although its entries send recent states.
 func TestAgentWithRecentKnowledgeAsksNothing(t *testing.T) {
 	r := newEvacuable(t)
 	for now := begin; now < begin+2*evacuateWithin; now += time.Second {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -166,7 +166,7 @@
 	// evacuationQueries the number of times since they were last known.
 	evacuationQueriedAt time.Duration
 	evacuationQueries   int
-	// firstTickAt is when the process began to wait for its first news of evacuations.
+	// firstTickAt is when the process began to wait for the first evacuation requests.
 	firstTickAt time.Duration
 
 	// lapsed holds the runs whose lease has expired since the last list.
