Name the simulated loads and start commands in tests by the field's terms

Cause: tests added since speak of crests, of orders to start and of plays, which docs/glossary.md lists as replaced; the two loads of the contention tests were described by invented callers instead of the deployments of the plan page that they follow. Change: comments, test messages, unexported names of tests, and TestSlowUpstreamsServeAtADemandPeak (its bound, 1%, is unchanged; it names the source of the bound and logs the measured share). Conclusion: no behaviour changes.

--- a/internal/broker/place_test.go
+++ b/internal/broker/place_test.go
@@ -32,7 +32,7 @@
 }
 
 // Guards against jobs that are refused for the wait at a fast upstream while a slow one is
-// free and would end them on time: three tenths of the jobs of a simulated crest were.
+// free and would end them on time: three tenths of the jobs at a simulated demand peak were.
 func TestJobIsPlacedOnSlowFreeUpstream(t *testing.T) {
 	g := newRig(t, "fast", "slow")
 	busy := load(0)
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// Plays the same operations on two schedulers, one of which is asked for explanations after
+// Runs the same operations on two schedulers, one of which is asked for explanations after
 // each. Guards against a question that starts something, spends a credit, changes a statistic
 // or takes a random draw: all later decisions would differ.
 func TestExplanationsChangeNoDecision(t *testing.T) {
--- a/internal/leasetest/contention_test.go
+++ b/internal/leasetest/contention_test.go
@@ -22,8 +22,8 @@
 	swing  float64
 	period time.Duration
 	bursts []burst
-	// upstreams is the number of upstreams. Their sizes go round, the factors on their run
-	// times are drawn.
+	// upstreams is the number of upstreams. Sizes are assigned in turn, and the factors on run
+	// times are drawn at random.
 	upstreams int
 	sizes     []int
 	slowness  []float64
@@ -46,8 +46,8 @@
 	from, to time.Duration
 }
 
-// longBurst is a burst of long work of the last rank on upstreams that are nearly full, as a
-// portal sees it when plans are renewed: callers of short urgent work must not pay for it.
+// longBurst is deployment A of docs/contention-plan.md on a day of heavy load: a burst of long work
+// of the lowest priority on upstreams that are nearly full.
 func longBurst(seed int64) demand {
 	return demand{
 		types: []jobType{
@@ -63,8 +63,8 @@
 	}
 }
 
-// swingingDemand is a demand that swings by half around what slow and fast upstreams can
-// serve, as a booking service sees it: at the crest there is room for some of the callers only.
+// swingingDemand is deployment B of docs/contention-plan.md on a day of heavy load: a demand that
+// varies by 55% on upstreams of unequal speed, and a burst of urgent work.
 func swingingDemand(seed int64) demand {
 	return demand{
 		types: []jobType{
@@ -90,7 +90,7 @@
 	return r
 }
 
-// result is what the callers of a demand have got.
+// result holds the outcomes of a simulated demand.
 type result struct {
 	w       *world
 	jobs    [][]*clientJob
@@ -239,15 +239,19 @@
 	return d
 }
 
-// Offers a demand whose crest needs the slow upstreams too. Guards against slow upstreams that
-// stay idle while tasks wait for fast ones and jobs are refused: a tenth of the work was.
-func TestSlowUpstreamsServeAtTheCrest(t *testing.T) {
+// Simulates a demand whose peak needs the slow upstreams too. Guards against slow upstreams that
+// stay idle while tasks wait for fast ones and jobs are refused. Bound: less than 1% of the offered
+// work is refused although it fits (docs/contention-plan.md); a tenth was with placement by the
+// earliest end.
+func TestSlowUpstreamsServeAtADemandPeak(t *testing.T) {
 	t.Parallel()
 	for seed := range int64(2) {
 		d := swingingDemand(seed).heavier(1.45)
 		r := d.play(t)
 		r.report(t, d)
-		if share := r.refusedFitting(); share > 0.01 {
+		share := r.refusedFitting()
+		t.Logf("seed %d: %.4f of the work is refused although it fits", seed, share)
+		if share > 0.01 {
 			t.Errorf("seed %d: %.3f of the work is refused although it fits, want 0.01 at most", seed, share)
 		}
 	}
--- a/internal/leasetest/preemption_test.go
+++ b/internal/leasetest/preemption_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// assumeEnded makes the agent believe that the upstream has listed the end of a run.
+// assumeEnded reports to the agent that the upstream has listed the end of a run.
 func (a *agent) assumeEnded(id wire.LeasedAttempt) {
 	u := a.upstream()
 	list := u.list(runner.ListRequest{}, 0)
--- a/internal/leasetest/racks_faults_test.go
+++ b/internal/leasetest/racks_faults_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// Plays a hot spot from its first moment: nine tenths of the tasks want one of four racks,
+// Simulates a hot spot from its first moment: nine tenths of the tasks want one of four racks,
 // nearly twice what it can run. Guards against a surplus that first waits for the rack: nearly
 // all tasks that run elsewhere must go there at once, and jobs must end sooner than without the
 // part, which lets them queue at the rack.
@@ -108,7 +108,7 @@
 	}
 }
 
-// Plays racks with uneven demand near the capacity. Guards against a wait that is longer than
+// Simulates racks with uneven demand near the capacity. Guards against a wait that is longer than
 // pays off, and against off-rack runs that take the capacity of others: by mean and 99th
 // percentile, jobs must take no longer than with the better of two simpler rules. The penalty
 // alone reaches that as well; the test that fails without the part is
--- a/internal/leasetest/waits_test.go
+++ b/internal/leasetest/waits_test.go
@@ -45,7 +45,7 @@
 	delete(l.first, m.Attempt.Task)
 }
 
-// Offers a burst of long work above the capacity. Guards against waits that are predicted far
+// Simulates a burst of long work above the capacity. Guards against waits that are predicted far
 // too short, on which admission and placement rest: they were a quarter of the actual ones.
 func TestWaitsArePredicted(t *testing.T) {
 	t.Parallel()
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -77,7 +77,7 @@
 	downUpstreams, mostDown int
 	// evacuations is the operators' part of the store, nil if there are no evacuations.
 	evacuations *evacuationStore
-	// waits compares predicted with actual waits; nil if nobody asks for it.
+	// waits compares predicted with actual waits; nil if the test does not compare them.
 	waits   *waitLog
 	preempt preemptions
 	// scarcityOff turns admission under scarcity off at entries that start.
--- a/internal/owner/explain_test.go
+++ b/internal/owner/explain_test.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// Plays all golden scenarios with questions after each command. Guards against a question
+// Runs all golden scenarios with questions after each command. Guards against a question
 // that starts a task, renews a refusal, or changes any later message or answer.
 func TestExplanationsChangeNoScenario(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
