Call the admission decision of dispatch judge again

Cause: renamed Scheduler.judge to evaluate, but docs/design/explain.md names it, and the broker's functions of the same kind (judge, judgeTask, scarcity.Judge) keep the name; those files are being edited by others. Change: the old name. Result: tests of internal/dispatch pass. Conclusion: rename all of them together, if at all.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -27,7 +27,7 @@
 	if s.disabled&Admission != 0 {
 		return Decision{Verdict: Admitted}
 	}
-	d, _ := s.evaluate(now, r)
+	d, _ := s.judge(now, r)
 	switch d.Verdict {
 	case Overloaded, OverQuota:
 		s.addRefusedWork(now, r)
@@ -38,9 +38,9 @@
 	return d
 }
 
-// evaluate returns the decision about a job, with the time to retry before the random part, and
+// judge returns the decision about a job, with the time to retry before the random part, and
 // the longest wait that is accepted. It changes nothing, so explanations use it as well.
-func (s *Scheduler) evaluate(now time.Duration, r AdmitRequest) (Decision, time.Duration) {
+func (s *Scheduler) judge(now time.Duration, r AdmitRequest) (Decision, time.Duration) {
 	k := s.classes[r.Class]
 	if s.impossible(now, r, k) {
 		return Decision{Verdict: Impossible}, 0
@@ -48,10 +48,10 @@
 	if k == nil || !served(k) {
 		return Decision{Verdict: NoUpstream, RetryAfter: noUpstreamRetry}, 0
 	}
-	return s.evaluateWait(now, r, k)
+	return s.judgeWait(now, r, k)
 }
 
-func (s *Scheduler) evaluateWait(now time.Duration, r AdmitRequest, k *class) (Decision, time.Duration) {
+func (s *Scheduler) judgeWait(now time.Duration, r AdmitRequest, k *class) (Decision, time.Duration) {
 	left := float64(r.Deadline - now)
 	if !k.stale(now) {
 		left -= s.lastTaskTime(r, k)
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -65,7 +65,7 @@
 // ExplainAdmission implements Explainer.
 func (s *Scheduler) ExplainAdmission(now time.Duration, r AdmitRequest) AdmissionOutlook {
 	var o AdmissionOutlook
-	if o.Decision, o.WaitLimit = s.evaluate(now, r); s.disabled&Admission != 0 {
+	if o.Decision, o.WaitLimit = s.judge(now, r); s.disabled&Admission != 0 {
 		o.Decision = Decision{Verdict: Admitted}
 	}
 	if o.RetryAfter > 0 {
