--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -22,7 +22,6 @@
 	suspects int
 }
 
-// links returns the links of all agents.
 func (b *Broker) links() iter.Seq[*agentlink.Agent] {
 	return func(yield func(*agentlink.Agent) bool) {
 		for _, a := range b.agentList {
--- a/internal/broker/effects.go
+++ b/internal/broker/effects.go
@@ -23,7 +23,6 @@
 	State            = brokerapi.State
 )
 
-// The constants of these types.
 const (
 	Completed      = brokerapi.Completed
 	Failed         = brokerapi.Failed
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -144,7 +144,6 @@
 	}
 }
 
-// newJob returns a job with its tasks.
 func newJob(now time.Duration, sub Submission, stats *runtimes.Stats, racks *locality.Racks) *job {
 	j := &job{sub: sub, stats: stats, arrived: now, openTasks: len(sub.Tasks)}
 	for i, spec := range sub.Tasks {
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -30,7 +30,6 @@
 	tooLargeRetryAfter = 2 * time.Second
 )
 
-// need returns what the task requires of an upstream.
 func (t *task) need() agentlink.Need {
 	return agentlink.Need{Service: t.job.sub.Queue.Service, Label: t.spec.RequiredLabel, CPU: t.spec.CPU, MemMB: t.spec.MemMB}
 }
@@ -160,7 +159,6 @@
 	t.seq = a.View.Reserve(now, d)
 }
 
-// demand returns what the task takes of an upstream's capacity.
 func (t *task) demand() capacity.Task {
 	return capacity.Task{CPU: t.spec.CPU, MemMB: t.spec.MemMB, Priority: t.job.sub.Queue.Priority, Expected: t.expected}
 }
--- a/internal/broker/quarantine.go
+++ b/internal/broker/quarantine.go
@@ -9,7 +9,6 @@
 // quarantineRetryAfter is the delay given to callers whose queue has no upstream left.
 const quarantineRetryAfter = 2 * time.Second
 
-// reasonQuarantine is the reason for refusing a job of a quarantined queue.
 const reasonQuarantine = "queue-quarantined"
 
 // updateQuarantine chooses the upstreams for quarantined queues.
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -100,7 +100,6 @@
 	}
 }
 
-// suspect returns the task as the rules for suspects see it.
 func (t *task) suspect() quarantine.Task {
 	return quarantine.Task{ID: t.attempt().Task, Queue: t.job.sub.Queue.Name, Expected: t.expected, Refusals: t.trialRefusals}
 }
