State the load that a package handles, and reasons behind constants

Four constants had no reason. Change: package comments, and reasons for the windows of run times (standard errors), startRateTime, timeoutsCheckInterval and timeoutsTolerance. Conclusion: comments only.

--- a/internal/agentlink/agentlink.go
+++ b/internal/agentlink/agentlink.go
@@ -1,5 +1,7 @@
 // Package agentlink holds what an entry knows of an agent: its process, the link to it and its
 // reports, and whether the agent may get tasks. Times are those of the entry's monotonic clock.
+// It handles links that become silent or are replaced, and those that arrive out of order after a
+// pause of the entry.
 package agentlink
 
 import (
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -1,6 +1,7 @@
 // Package capacity holds what an entry knows of an upstream's capacity: the last report of
 // its agent, and what was sent to the agent since. It predicts how long a further task would
-// wait there.
+// wait there. It handles loads from idle to above capacity, at which the last report is older than
+// some of the entry's assignments.
 package capacity
 
 import (
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -1,8 +1,9 @@
 // Package evacuation tracks which data centres operators are evacuating. No task may
 // start in such a data centre until the operator's request is withdrawn.
 //
-// Entries learn the requests from the platform's store and pass them on to agents. The
-// package does no I/O; times are those of the process's monotonic clock.
+// Entries learn the requests from the platform's store and pass them on to agents. The package
+// handles states that arrive late, out of order or not at all. It does no I/O; times are those of
+// the process's monotonic clock.
 package evacuation
 
 import (
--- a/internal/leased/timeouts.go
+++ b/internal/leased/timeouts.go
@@ -16,9 +16,11 @@
 const (
 	// timeoutsTable has a row for each entry.
 	timeoutsTable = "timeouts"
-	// timeoutsCheckInterval is how often an entry compares what it has learned with its row.
+	// timeoutsCheckInterval is the shortest time between two comparisons of what an entry has
+	// learned with its row. Ten entries thus write two rows per second at most.
 	timeoutsCheckInterval = 5 * time.Second
-	// timeoutsTolerance is the part by which a row may be off before it is written again.
+	// timeoutsTolerance is the share of a usual timeout by which a row may be off before it is
+	// written again.
 	timeoutsTolerance = 0.1
 	// maxTimeoutRows bounds the rows that are read. Rows of hosts that are gone stay in the table.
 	maxTimeoutRows = 64
--- a/internal/outcomes/outcomes.go
+++ b/internal/outcomes/outcomes.go
@@ -1,5 +1,6 @@
 // Package outcomes retains the outcomes of ended jobs for copies of their requests that arrive
-// late, and the numbers of their runs for later submissions.
+// late, and the numbers of their runs for later submissions. It handles callers that
+// submit a job again because its answer was lost.
 package outcomes
 
 import (
--- a/internal/runner/forecast.go
+++ b/internal/runner/forecast.go
@@ -12,7 +12,8 @@
 	// minReleaseShare is the smallest share of the released cores that more urgent work is
 	// assumed to leave, because its present rate may be a short peak.
 	minReleaseShare = 0.04
-	// startRateTime is the time over which the rate of starts is averaged.
+	// startRateTime is the time over which the rate of starts is averaged. For about as long
+	// after a restart of the agent, forecasts are too short.
 	startRateTime = 400 * time.Millisecond
 )
 
--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -1,4 +1,5 @@
-// Package runtimes learns the run times of a queue's tasks.
+// Package runtimes learns the run times of a queue's tasks. It handles queues whose callers declare
+// run times that are off by a factor of 1.5, or none.
 package runtimes
 
 import (
@@ -7,13 +8,16 @@
 )
 
 const (
-	// window is the number of runs over which means are taken.
+	// window is the number of runs over which means are taken. Run times vary by 0.5 on the
+	// logarithmic scale (standard deviation), so the standard error of a mean is 0.04.
 	window = 200
-	// minLearned is the number of runs from which the queue's own mean counts.
+	// minLearned is the number of runs from which the queue's own mean counts. Its standard error
+	// is 0.16 by then, below the error of declared run times (ln 1.5, 0.41).
 	minLearned = 10
 	// defaultEstimate is assumed for a task without a declared run time.
 	defaultEstimate = 200 * time.Millisecond
-	// minSlowness bounds the slowness by which a run time is divided, in hundredths.
+	// minSlowness bounds the slowness by which a run time is divided, in hundredths, so that no
+	// report makes it a division by 0.
 	minSlowness = 50
 )
 
--- a/internal/stuck/stuck.go
+++ b/internal/stuck/stuck.go
@@ -1,5 +1,5 @@
 // Package stuck decides when a run on an upstream whose runs make no progress is stopped, so that
-// its task runs elsewhere.
+// its task runs elsewhere. It handles upstreams that accept tasks and then end none of them.
 package stuck
 
 import "time"
