--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,7 +60,7 @@
 	EndedRetention time.Duration
 	// DataCentre is the data centre of the upstream.
 	DataCentre string
-	// EvacuateWithin is the time from an operator's request to empty a data centre after
+	// EvacuateWithin is the time from an operator's request to evacuate a data centre after
 	// which no task may start there; 0 means that there are no such requests.
 	EvacuateWithin time.Duration
 	// NoSpeed keeps the agent from reporting the speed of its type of host.
@@ -166,7 +166,7 @@
 	// evacuationQueries the number of times since they were last known.
 	evacuationQueriedAt time.Duration
 	evacuationQueries   int
-	// firstTickAt is when the process began to wait for its first news of evacuations.
+	// firstTickAt is when the process began to wait for the first evacuation requests.
 	firstTickAt time.Duration
 
 	// lapsed holds the runs whose lease has expired since the last list.
@@ -280,7 +280,7 @@
 }
 
 // ready reports whether the upstream may be assigned tasks: it is in order, and its data
-// centre is not being emptied.
+// centre is not being evacuated.
 func (r *Runner) ready() bool { return r.inOrder() && !r.evacuated() }
 
 // inOrder reports whether the upstream is in order. The free capacity is unknown before
