Bound predicted waits, so that absurd reports end no entry

Cause: free capacity far below 0 in a report, as of a malformed message, gave a predicted wait beyond the range of a duration. The retry delay of the refusal became negative and its random part panicked ("invalid argument to Int63n"), which terminated the entry and all that it had accepted.

Change: predicted waits are bounded to an hour.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -134,7 +134,7 @@
 		return v.forecastWait(t)
 	}
 	untilFree := float64(turnover) * float64(t.CPU) / float64(max(v.Load.CapacityCPU, 1))
-	return time.Duration((float64(workMS)*float64(time.Millisecond) + untilFree) * max(v.Slowdown(), 1) / v.availableShare(t.Priority))
+	return bounded((float64(workMS)*float64(time.Millisecond) + untilFree) * max(v.Slowdown(), 1) / v.availableShare(t.Priority))
 }
 
 // forecastWait predicts the wait from the agent's forecast and from what was sent since.
@@ -150,7 +150,7 @@
 		lacking += u.cpu
 	}
 	rate := float64(v.Load.ReleaseRate[level])
-	wait += time.Duration(float64(lacking) / rate * float64(time.Second))
+	wait += bounded(float64(lacking) / rate * float64(time.Second))
 	return max(wait, v.memoryWait(t, rate), minWait)
 }
 
@@ -163,7 +163,15 @@
 		return 0
 	}
 	rate := cpuRate * float64(usedMem) / float64(max(usedCPU, 1))
-	return time.Duration(float64(t.MemMB-free) / rate * float64(time.Second))
+	return bounded(float64(t.MemMB-free) / rate * float64(time.Second))
+}
+
+// maxWait bounds a predicted wait. No caller waits for as long, and sums of absurd reported
+// figures would exceed the range of a duration.
+const maxWait = time.Hour
+
+func bounded(wait float64) time.Duration {
+	return time.Duration(min(max(wait, -float64(maxWait)), float64(maxWait)))
 }
 
 // minWait is the wait predicted for a task that does not fit now.
