Judge whether a job fits when it is sent, with its own sizes

Cause: simulations noted whether all tasks of a job fit when the job was drawn. With paired demands all jobs are drawn before the first is sent, so on idle upstreams: each refused job counted as one that fits. In other demands the jobs were judged before their tasks got the sizes of the demand: 5 to 7.4 cores instead of 1.4 in the swinging one, so nearly none fitted.

Change: the world judges at the first submission.

TestFittedIsOfTheTimeOfSubmission fails without the change.

Conclusion: the share was measured wrongly, too high in one demand and too low in the other.

--- a/internal/leasetest/load_test.go
+++ b/internal/leasetest/load_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/damasklb/damasklb/internal/broker"
 	"github.com/damasklb/damasklb/internal/catalog"
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // jobType is a type of job in a simulated load. Short jobs with many tasks have the
@@ -120,7 +121,6 @@
 		j.tasks = append(j.tasks, taskSpec{cpu: 5000 + w.rng.Intn(2400), runTime: w.lognormal(lasts, 0.15), estimate: estimate})
 	}
 	w.jobs[j.id] = j
-	j.fitted = w.fits(j)
 	return j
 }
 
@@ -186,6 +186,26 @@
 		float64(c.refused)/float64(c.offered), c.other, c.workOnTime/c.work, c.slowestRefusal, c.slowest)
 }
 
+// Guards against jobs that are taken to fit although the upstreams are full when they are sent.
+func TestFittedIsOfTheTimeOfSubmission(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	w.run(1600 * time.Millisecond)
+	submit := func(n int) *clientJob {
+		j := w.newJob(&jobTypes[1], n)
+		j.tasks = j.tasks[:1]
+		j.tasks[0].cpu = 8000
+		w.committed[committedKey{0, wire.LeasedAttempt{Run: uint64(n)}}] = 6500
+		w.submit(j, w.entries[0])
+		return j
+	}
+	if j := submit(1); !j.fitted {
+		t.Error("a job of 8 cores does not fit on 13.5 free ones")
+	}
+	if j := submit(2); j.fitted {
+		t.Error("a job of 8 cores fits on 7 free ones")
+	}
+}
+
 // Offers half of the capacity. Guards against tasks that wait while other upstreams
 // are idle, and against refusals of jobs for which upstreams are free.
 func TestHalfLoadIsServedInTime(t *testing.T) {
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -136,7 +136,7 @@
 	sentAt       time.Duration
 	responseTime time.Duration
 	outcome      broker.OutcomeKind
-	// fitted is whether all tasks fitted on the upstreams when the job was sent.
+	// fitted is whether all tasks fitted on the upstreams when the job was first sent.
 	fitted bool
 }
 
@@ -249,6 +249,9 @@
 // submit sends a job to an entry. A job without a definite answer is submitted again.
 func (w *world) submit(j *clientJob, e *entry) {
 	j.submissions++
+	if j.submissions == 1 {
+		j.fitted = w.fits(j)
+	}
 	j.entry = e
 	queue := w.queue
 	if j.queue != nil {
