Forget priorities without arrivals under scarcity in time

Cause: a priority that had not arrived for 10 s was dropped only when a new priority appeared. A service that had seen one urgent job ever since its entry's start refused up to three fifths of its other jobs under load, in favour of nothing.

Change: each arrival drops the priorities that have expired.

--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -140,20 +140,18 @@
 	if c.learnedAt == 0 {
 		c.learnedAt = now + learnFor
 	}
-	l := c.level(now, j)
+	c.levels = slices.DeleteFunc(c.levels, func(l level) bool { return now-l.seenAt > priorityExpiry })
+	l := c.level(j)
 	l.seenAt = now
 	l.expected += time.Duration(runTimeWeight * float64(j.Expected-l.expected))
 }
 
-// level returns the state of the job's priority, and drops those without arrivals.
-func (c *Controller) level(now time.Duration, j Job) *level {
+// level returns the state of the job's priority.
+func (c *Controller) level(j Job) *level {
 	i, found := slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
-	if found {
-		return &c.levels[i]
+	if !found {
+		c.levels = slices.Insert(c.levels, i, level{priority: j.Priority, expected: j.Expected})
 	}
-	c.levels = slices.DeleteFunc(c.levels, func(l level) bool { return now-l.seenAt > priorityExpiry })
-	i, _ = slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
-	c.levels = slices.Insert(c.levels, i, level{priority: j.Priority, expected: j.Expected})
 	return &c.levels[i]
 }
 
--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -149,6 +149,17 @@
 	}
 }
 
+// Guards against refusals in favour of a priority that no longer arrives.
+func TestPriorityWithoutArrivalsIsForgotten(t *testing.T) {
+	c := New(DefaultSettings())
+	short := fleet(0, 0, 0, 900)
+	play(c, time.Second, 2*time.Second, always(short), urgent, long)
+	got, of := play(c, 3*time.Second, priorityExpiry+2*time.Second, always(short), long)
+	if got["long"] != of {
+		t.Errorf("%d of %d jobs are admitted, want all: nothing more urgent has arrived for %v", got["long"], of, priorityExpiry)
+	}
+}
+
 // Guards against agents of an older version, which report no size of tasks and no forecast, that
 // count as idle, and against free capacity that is too small for a task.
 func TestSnapshot(t *testing.T) {
