Count waiting work once for all priorities that agents report as one

Cause: agents report the work that waits for four priorities; the fourth includes all after it. Admission under scarcity kept a level for each priority of a job and summed the reported work of each, so with priorities 3, 5 and 7 the same work counted three times and scarcity began too early.

Change: levels are those of the reports.

Result: TestLastPrioritiesCountOnce: no scarcity with 0.08 of the capacity waiting; it began without the change. Deployments with priorities 0 to 3 are not affected.

--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -16,6 +16,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 const (
@@ -81,6 +83,8 @@
 
 // level is what is known of a priority.
 type level struct {
+	// priority is one of those that agents distinguish in their reports (wire.PriorityLevel).
+	// Work that waits would otherwise count once for each priority that is reported as the last.
 	priority int
 	// expected is the mean expected run time of its jobs.
 	expected time.Duration
@@ -148,13 +152,19 @@
 
 // level returns the state of the job's priority.
 func (c *Controller) level(j Job) *level {
-	i, found := slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
+	priority := wire.PriorityLevel(j.Priority)
+	i, found := slices.BinarySearchFunc(c.levels, priority, func(l level, p int) int { return l.priority - p })
 	if !found {
-		c.levels = slices.Insert(c.levels, i, level{priority: j.Priority, expected: j.Expected})
+		c.levels = slices.Insert(c.levels, i, level{priority: priority, expected: j.Expected})
 	}
 	return &c.levels[i]
 }
 
+// index returns the position of a job's priority in levels, -1 if it is not there.
+func (c *Controller) index(priority int) int {
+	return slices.IndexFunc(c.levels, func(l level) bool { return l.priority == wire.PriorityLevel(priority) })
+}
+
 // Headroom returns the share of the service's capacity that is free, less what waits at any
 // priority, as of the last snapshot.
 func (c *Controller) Headroom() float64 {
@@ -176,7 +186,7 @@
 
 // share returns the share of a priority's jobs that is admitted now.
 func (c *Controller) share(now time.Duration, priority int) float64 {
-	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == priority })
+	i := c.index(priority)
 	if !c.Scarce(now) || i <= 0 {
 		return 1
 	}
@@ -191,7 +201,7 @@
 
 // Judge decides about a job. It changes nothing, so that explanations use it as well.
 func (c *Controller) Judge(now time.Duration, j Job) Verdict {
-	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == j.Priority })
+	i := c.index(j.Priority)
 	if i <= 0 || !c.Scarce(now) {
 		return Verdict{Share: 1}
 	}
--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -160,6 +160,23 @@
 	}
 }
 
+// Guards against waiting work that counts several times: agents report all priorities from the
+// fourth on as one.
+func TestLastPrioritiesCountOnce(t *testing.T) {
+	c := New(DefaultSettings())
+	jobs := []Job{urgent, {Queue: "a", Priority: 3, Expected: 900 * ms}, {Queue: "b", Priority: 5, Expected: 900 * ms}, {Queue: "c", Priority: 7, Expected: 900 * ms}}
+	// The work of 0.08 of the capacity waits, less than the 0.1 at which scarcity begins.
+	got, of := play(c, time.Second, 3*time.Second, always(fleet(0, 0, 0, 0, 72)), jobs...)
+	for _, j := range jobs {
+		if got[j.Queue] != of {
+			t.Errorf("priority %d: %d of %d jobs are admitted, want all", j.Priority, got[j.Queue], of)
+		}
+	}
+	if c.Scarce(4 * time.Second) {
+		t.Errorf("capacity is scarce at a headroom of %.2f", c.Headroom())
+	}
+}
+
 // Guards against agents of an older version, which report no size of tasks and no forecast, that
 // count as idle, and against free capacity that is too small for a task.
 func TestSnapshot(t *testing.T) {
