--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -121,6 +121,10 @@
 // It reports whether scarcity has begun or ended.
 func (c *Controller) Observe(now time.Duration, s Snapshot) (changed bool) {
 	was := c.scarce
+	if now-c.observedAt > snapshotMaxAge {
+		// Nothing is known of the time between, as after a pause of the process.
+		c.scarce, c.crossedAt = false, 0
+	}
 	c.snapshot, c.observedAt = s, now
 	if len(c.levels) < 2 || s.Capacity <= 0 {
 		c.scarce, c.crossedAt = false, 0
--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -160,6 +160,20 @@
 	}
 }
 
+// Guards against an entry that refuses on what it saw before it was paused or had no arrivals: one
+// short peak before and one after are not scarcity, and neither is scarcity that has begun before.
+func TestGapInSnapshots(t *testing.T) {
+	for name, before := range map[string]time.Duration{"a short peak": 50 * ms, "scarcity": time.Second} {
+		c := New(DefaultSettings())
+		play(c, time.Second, time.Second, always(fleet(20_000)), urgent, long)
+		play(c, 2*time.Second, before, always(fleet(0, 0, 0, 900)), urgent, long)
+		got, of := play(c, 10*time.Second, 50*ms, always(fleet(0, 0, 0, 900)), urgent, long)
+		if c.Scarce(10*time.Second+50*ms) || got["long"] != of {
+			t.Errorf("%s 7 s ago: %d of %d jobs are admitted within 50 ms, want all", name, got["long"], of)
+		}
+	}
+}
+
 // Guards against waiting work that counts several times: agents report all priorities from the
 // fourth on as one.
 func TestLastPrioritiesCountOnce(t *testing.T) {
