Spread long retry delays up to the longest one

Cause: the random half of a retry delay was added before the delay was cut to 4 s, so delays of 2.7 s and more lost part of their spread, and from 4 s on all of it: callers that were refused together behind long tasks came back at the same moment.

Change: the delay is cut to two thirds of 4 s first.

Result: TestLongRetryDelaysAreSpread: 10 s became 4 s for each of 200 callers, now 2.7 to 4 s. Delays of up to 2.7 s, which includes those under scarcity with the default floor, are as before.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -207,8 +207,9 @@
 	return b.jitter(minRetryAfter + j.startLimit())
 }
 
-// jitter adds up to half of the delay at random, to spread the retries of callers.
+// jitter adds up to half of the delay at random, to spread the retries of callers. The delay is
+// shortened first where the sum could exceed maxRetryAfter: long delays would otherwise be equal.
 func (b *Broker) jitter(d time.Duration) time.Duration {
-	d += time.Duration(b.random.Int63n(int64(d)/2 + 1))
-	return min(d, maxRetryAfter)
+	d = min(d, maxRetryAfter*2/3)
+	return d + time.Duration(b.random.Int63n(int64(d)/2+1))
 }
