Admit under scarcity what starts at once, and verify other refusals

Cause: a refusal under scarcity did not look at the plan. And it came before the check for jobs that no upstream can ever take, which were told to come back. A job that was verified skipped the rule, so two jobs could use one credit.

Change: the rule is applied after the plan, spares jobs whose tasks all start at once, and is verified like other refusals; a verified job is judged by it again. A decision is counted once it is final.

The three new tests in internal/broker fail without the change.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -75,10 +75,16 @@
 		placements = b.plan(now, j)
 	}
 	v := b.judge(now, j, placements)
-	b.countDecision(now, j, v)
 	if v.Action != explain.Place {
 		cancelPlan(placements)
 	}
+	if v.Action == explain.Verify {
+		if b.verify(now, j) {
+			return Outcome{}, false
+		}
+		v.Action = explain.Refuse
+	}
+	b.countDecision(now, j, v)
 	switch v.Action {
 	case explain.Place:
 		for _, p := range placements {
@@ -92,10 +98,6 @@
 	case explain.Hold:
 		b.retain(now, j)
 		return Outcome{}, false
-	case explain.Verify:
-		if b.verify(now, j) {
-			return Outcome{}, false
-		}
 	}
 	return b.refuse(j, b.refusal(v), v), true
 }
--- a/internal/broker/judge.go
+++ b/internal/broker/judge.go
@@ -39,9 +39,6 @@
 	if b.suspended(now) {
 		return explain.HoldFor(reasonResuming)
 	}
-	if v, refused := b.judgeScarcity(now, j); refused {
-		return v
-	}
 	v := explain.Verdict{Action: explain.Place, Limit: time.Duration(maxWaitShare * float64(j.slack()))}
 	for _, p := range placements {
 		if p.agent == nil && !p.hold {
@@ -52,6 +49,10 @@
 			v.AtOnce++
 		}
 	}
+	if s, refused := b.judgeScarcity(now, j); refused && v.AtOnce < len(placements) {
+		s.AtOnce = v.AtOnce
+		return s
+	}
 	switch {
 	case v.Wait <= v.Limit:
 		return v
--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -39,15 +39,19 @@
 }
 
 // judgeScarcity decides whether a job is refused because more urgent work needs the capacity.
-// Jobs that were asked about before, and those that may have run, have been admitted.
+// The refusal is verified first: reports that are a few tens of milliseconds old do not show the
+// capacity that has become free since. Jobs that may have run have been admitted.
 func (b *Broker) judgeScarcity(now time.Duration, j *job) (explain.Verdict, bool) {
 	c := b.scarcity[j.sub.Queue.Service]
-	if c == nil || j.verified || j.started {
+	if c == nil || j.started {
 		return explain.Verdict{}, false
 	}
 	s := c.Judge(now, j.demand())
 	v := explain.RefuseFor(reasonScarcity, s.RetryAfter)
 	v.Headroom, v.Share = s.Headroom, s.Share
+	if !j.verified {
+		v.Action = explain.Verify
+	}
 	return v, s.Refuse
 }
 
--- a/internal/broker/scarcity_test.go
+++ b/internal/broker/scarcity_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/catalog"
+	"github.com/damasklb/damasklb/internal/reasons"
+	"github.com/damasklb/damasklb/internal/scarcity"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -60,3 +62,115 @@
 		t.Errorf("refused while off: %v", got)
 	}
 }
+
+// scarce returns agents that report work of the last priority that waits, and a broker for which
+// capacity is scarce and whose next job of the last priority is over its queue's share.
+func scarce(t *testing.T) *rig {
+	g := newRig(t, "a", "b")
+	for i := range 50 {
+		g.now += 20 * time.Millisecond
+		g.reportWaiting()
+		for _, p := range []int{0, 2} {
+			g.submitSized(fmt.Sprint("before", p, "-", i), p, 4000)
+		}
+	}
+	if !g.b.scarcity["s"].Scarce(g.now) {
+		t.Fatal("capacity is not scarce")
+	}
+	for range 2 {
+		g.b.scarcity["s"].Decided(g.now, scarcity.Job{Queue: "q2", Priority: 2}, true)
+	}
+	g.takeEffects()
+	return g
+}
+
+// reportWaiting lets the agents report that work of the last priority waits.
+func (g *rig) reportWaiting() {
+	l := load(0)
+	l.QueuedWork = [wire.PriorityLevels]uint32{0, 0, 900}
+	g.heartbeat("a", l)
+	g.heartbeat("b", l)
+}
+
+func (g *rig) submitSized(id string, priority, cpu int) {
+	q := &catalog.Queue{Name: fmt.Sprint("q", priority), Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 60 * time.Millisecond}
+	g.b.Submit(g.now, Submission{ID: id, Queue: q, Tasks: []TaskSpec{{CPU: cpu, MemMB: 10, Estimate: 100 * time.Millisecond}}}, Waiter(g.b.LiveJobs()+1))
+}
+
+// Guards against jobs that are refused for more urgent work although they start at once.
+func TestJobsThatStartAtOnceAreAdmittedUnderScarcity(t *testing.T) {
+	g := scarce(t)
+	g.connect("free", "1")
+	for i := range 10 {
+		g.now += snapshotInterval
+		g.reportWaiting()
+		l := load(10_000)
+		l.LastSeq = 1000
+		g.heartbeat("free", l)
+		g.takeEffects()
+		g.submitSized(fmt.Sprint("j", i), 2, 4000)
+		effects := g.takeEffects()
+		if n := len(messages[wire.Assign](effects)); n != 1 {
+			t.Errorf("job %d: %d tasks are assigned, answers %v", i, n, answers(effects))
+		}
+	}
+	if !g.b.scarcity["s"].Scarce(g.now) {
+		t.Error("capacity is not scarce at the end")
+	}
+}
+
+// Guards against jobs that are refused for more urgent work on old reports while upstreams are
+// free, and against ones that are admitted or answered twice because they waited for new reports.
+func TestOldReportsAreRenewedBeforeARefusalUnderScarcity(t *testing.T) {
+	for _, free := range []bool{true, false} {
+		g := scarce(t)
+		g.now += reportMaxAge + time.Millisecond
+		const jobs = 10
+		for i := range jobs {
+			g.submitSized(fmt.Sprint("j", i), 2, 500)
+		}
+		if got := answers(g.takeEffects()); len(got) > 0 {
+			t.Fatalf("%d jobs are answered on old reports", len(got))
+		}
+		g.now += 2 * time.Millisecond
+		if free {
+			g.heartbeat("a", load(10_000))
+			g.heartbeat("b", load(10_000))
+		} else {
+			g.reportWaiting()
+		}
+		g.now += verifyTimeout
+		g.b.Tick(g.now)
+		effects := g.takeEffects()
+		assigned, refused, forUrgent := len(messages[wire.Assign](effects)), 0, 0
+		for _, e := range effects {
+			if d, ok := e.(Decision); ok && d.Action == "refuse" {
+				refused++
+				if d.Reason == reasonScarcity {
+					forUrgent++
+				}
+			}
+		}
+		if free && assigned != jobs || !free && forUrgent == 0 || assigned+refused != jobs {
+			t.Errorf("free %v: %d assigned, %d refused, %d of them under scarcity", free, assigned, refused, forUrgent)
+		}
+	}
+}
+
+// Guards against a job that no upstream can ever take and that is told to come back when capacity
+// is no longer scarce.
+func TestCauseOfARefusalUnderScarcity(t *testing.T) {
+	g := scarce(t)
+	for i := range 5 {
+		g.submitSized(fmt.Sprint("j", i), 2, 50_000)
+	}
+	got := answers(g.takeEffects())
+	for _, a := range got {
+		if a.Outcome.Reason != reasons.TooLarge {
+			t.Errorf("refused with %s, want %s", a.Outcome.Reason, reasons.TooLarge)
+		}
+	}
+	if len(got) != 5 {
+		t.Errorf("%d of 5 jobs are refused", len(got))
+	}
+}
--- a/internal/leasetest/contention_test.go
+++ b/internal/leasetest/contention_test.go
@@ -230,6 +230,26 @@
 	return refused / offered
 }
 
+// refusedFittingValue is like refusedFitting, as a share of the offered value.
+func (r result) refusedFittingValue(d demand) float64 {
+	refused, offered := 0.0, 0.0
+	for i, jobs := range r.jobs {
+		work := 0.0
+		for _, j := range jobs {
+			work += j.work()
+		}
+		mean := work / float64(len(jobs))
+		for _, j := range jobs {
+			v := d.types[i].mean.Seconds() * float64(d.types[i].width) * (0.3 + 0.7*j.work()/mean)
+			offered += v
+			if j.outcome == broker.Refused && j.fitted {
+				refused += v
+			}
+		}
+	}
+	return refused / offered
+}
+
 // heavier returns the demand at a multiple of its rates.
 func (d demand) heavier(factor float64) demand {
 	d.rates = slices.Clone(d.rates)
--- a/internal/leasetest/scarcity_test.go
+++ b/internal/leasetest/scarcity_test.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// Plays the burst of long work. Guards against jobs that are refused while the upstreams have free
+// capacity for all of their tasks.
+func TestFittingJobsAreServedInALongBurst(t *testing.T) {
+	t.Parallel()
+	share, seeds := 0.0, scarcitySeeds(t, 4)
+	for seed := range seeds {
+		d := longBurst(seed)
+		share += d.playPaired(t, 1, preemption.Settings{}).refusedFittingValue(d) / float64(seeds)
+	}
+	t.Logf("%.4f of the offered value is refused although it fits", share)
+	if share >= 0.01 {
+		t.Errorf("%.4f of the offered value is refused although it fits, want less than 0.01", share)
+	}
+}
+
 // Plays the swinging demand in the same way. Guards against refusals that the demand does not
 // call for.
 func TestScarcityUnderASwingingDemand(t *testing.T) {
