--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -96,7 +96,9 @@
 		}
 		return Outcome{}, false
 	case explain.Hold:
-		b.retain(now, j)
+		for _, t := range j.tasks {
+			b.retainTask(now, t)
+		}
 		return Outcome{}, false
 	}
 	return b.refuse(j, b.refusal(v), v), true
@@ -123,13 +125,7 @@
 	agentArrivalWindow = 60 * time.Millisecond
 )
 
-// retain adds a job's tasks to those that wait for an agent.
-func (b *Broker) retain(now time.Duration, j *job) {
-	for _, t := range j.tasks {
-		b.retainTask(now, t)
-	}
-}
-
+// retainTask adds a task to those that wait for an agent.
 func (b *Broker) retainTask(now time.Duration, t *task) {
 	if !t.unplaced {
 		t.unplaced, t.unplacedAt = true, now
@@ -181,27 +177,20 @@
 	}
 }
 
-// tooLate reports whether a job of which nothing has started would start too late
-// after the wait. It applies to tasks that are placed again, as when an upstream
-// that seemed to have free capacity turned out to have none. A task that was
-// accepted to wait and was withdrawn for an upstream with free capacity may wait
-// again for as long as one that stayed in its queue.
+// tooLate reports whether a job of which nothing has started would start too late after the
+// wait. It applies to tasks that are placed again, as when an upstream that seemed to have free
+// capacity turned out to have none. A task that was accepted to wait and was withdrawn for an
+// upstream with free capacity may wait again for as long as one that stayed in its queue.
 func (b *Broker) tooLate(now time.Duration, t *task, wait time.Duration) bool {
 	j := t.job
-	if j.started || wait == 0 {
+	// A task with an agent may be starting at this moment.
+	if j.started || wait == 0 || slices.ContainsFunc(j.tasks, func(o *task) bool { return o.agent != nil }) {
 		return false
 	}
-	for _, other := range j.tasks {
-		if other.agent != nil {
-			// It may be starting at this moment.
-			return false
-		}
-	}
-	limit := time.Duration(maxWaitShare * float64(j.slack()))
 	if t.acceptedToWait {
-		limit = j.startLimit()
+		return now-j.arrived+wait > j.startLimit()
 	}
-	return now-j.arrived+wait > limit
+	return now-j.arrived+wait > time.Duration(maxWaitShare*float64(j.slack()))
 }
 
 // retryAfter returns the retry delay for a job that was refused after a wait.
--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -32,7 +32,11 @@
 			}
 		}
 		if c.Observe(now, s) {
-			b.emitScarcity(now, service, c)
+			d := Decision{Action: "scarcity-ends", Reason: service, Headroom: c.Headroom()}
+			if c.Scarce(now) {
+				d.Action = "scarcity-begins"
+			}
+			b.emit(d)
 		}
 	}
 	c.Arrived(now, j.demand())
@@ -55,14 +59,6 @@
 	return v, s.Refuse
 }
 
-func (b *Broker) emitScarcity(now time.Duration, service string, c *scarcity.Controller) {
-	d := Decision{Action: "scarcity-ends", Reason: service, Headroom: c.Headroom()}
-	if c.Scarce(now) {
-		d.Action = "scarcity-begins"
-	}
-	b.emit(d)
-}
-
 // countDecision handles the decision about a job.
 func (b *Broker) countDecision(now time.Duration, j *job, v explain.Verdict) {
 	admitted := v.Action == explain.Place
