Log the begin and end of scarcity as they are judged

Cause: the controller reported changes of its inner state, which ignores the setting and the time in which a restarted entry learns. With the part off, or in that time, the entry logged scarcity-ends when capacity became short, and never scarcity-begins.

Change: changes of what is judged are reported.

Result: TestScarcityIsLoggedOnce fails without the change with [scarcity-ends], off and on.

--- a/internal/broker/scarcity_test.go
+++ b/internal/broker/scarcity_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,6 +159,30 @@
 	}
 }
 
+// Guards against a log that states the end of scarcity where it begins or is not judged: while the
+// part is off, and before a restarted entry has learned.
+func TestScarcityIsLoggedOnce(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		g := newRig(t, "a", "b")
+		g.b.settings.Scarcity.Off = off
+		var logged []string
+		for i := range 60 {
+			g.now += 20 * time.Millisecond
+			g.reportWaiting()
+			g.submitSized(fmt.Sprint("urgent", i), 0, 4000)
+			g.submitSized(fmt.Sprint("long", i), 2, 4000)
+			for _, e := range g.takeEffects() {
+				if d, ok := e.(Decision); ok && strings.HasPrefix(d.Action, "scarcity-") {
+					logged = append(logged, d.Action)
+				}
+			}
+		}
+		if want := []string{"scarcity-begins"}; off && len(logged) > 0 || !off && !slices.Equal(logged, want) {
+			t.Errorf("off %v: logged %v, want %v if it is on", off, logged, want)
+		}
+	}
+}
+
 // Guards against a job that no upstream can ever take and that is told to come back when capacity
 // is no longer scarce.
 func TestCauseOfARefusalUnderScarcity(t *testing.T) {
--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -109,6 +109,8 @@
 	// crossedAt is since when the headroom calls for the other state than scarce; 0 means that
 	// it does not.
 	crossedAt time.Duration
+	// reported is what Observe has reported last.
+	reported bool
 }
 
 // New returns a controller that has seen no job and no report.
@@ -120,7 +122,13 @@
 // Observe handles a new snapshot of the service's usable upstreams.
 // It reports whether scarcity has begun or ended.
 func (c *Controller) Observe(now time.Duration, s Snapshot) (changed bool) {
-	was := c.scarce
+	c.update(now, s)
+	was := c.reported
+	c.reported = c.Scarce(now)
+	return c.reported != was
+}
+
+func (c *Controller) update(now time.Duration, s Snapshot) {
 	if now-c.observedAt > snapshotMaxAge {
 		// Nothing is known of the time between, as after a pause of the process.
 		c.scarce, c.crossedAt = false, 0
@@ -128,7 +136,7 @@
 	c.snapshot, c.observedAt = s, now
 	if len(c.levels) < 2 || s.Capacity <= 0 {
 		c.scarce, c.crossedAt = false, 0
-		return c.scarce != was
+		return
 	}
 	last := len(c.levels) - 1
 	short := c.headroom(last) < c.settings.FullHeadroom
@@ -140,7 +148,6 @@
 	case short && now-c.crossedAt >= enterAfter, !short && now-c.crossedAt >= leaveAfter:
 		c.scarce, c.crossedAt = short, 0
 	}
-	return c.scarce != was
 }
 
 // Arrived handles the arrival of a job, whether it is admitted or not.
