Do not refuse as not run what an earlier submission has run

Cause: an entry keeps the outcome and run numbers of a job that has ended, but not whether it has run. If the caller had left (its connection broke, or its deadline passed) and submitted the job again to the same entry, a refusal stated that nothing of the job had run.

Change: the retained outcome says whether a task has started or may have, and a refusal of a later submission within the retention is answered as unknown, as for other jobs that may have run.

Another entry still cannot know of the run unless an upstream has crashed under it.

--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -24,8 +24,9 @@
 	waiters   []Waiter
 	tasks     []*task
 	openTasks int
-	// started is whether a task has started or may have.
-	started bool
+	// started is whether a task has started or may have, startedEarlier the same of an earlier
+	// submission to this broker.
+	started, startedEarlier bool
 	// closing is set once the outcome is decided. The job stays until no run is
 	// left; pending holds the requests that arrive meanwhile.
 	closing bool
@@ -126,7 +127,7 @@
 		return
 	}
 	j := newJob(now, sub, b.statsOf(sub.Queue.Name), b.racks)
-	j.waiters, j.earlierLastRun, j.lastRun = []Waiter{w}, earlier.LastRun, earlier.LastRun
+	j.waiters, j.earlierLastRun, j.lastRun, j.startedEarlier = []Waiter{w}, earlier.LastRun, earlier.LastRun, earlier.Started
 	b.noteTimeout(j)
 	// Another entry may have run it.
 	j.started = b.poison.HasRun(sub.ID)
@@ -137,7 +138,7 @@
 	b.countArrival(now, j)
 	if refusal, refused := b.admit(now, j); refused {
 		delete(b.jobs, sub.ID)
-		if j.started {
+		if j.started || j.startedEarlier {
 			refusal.Kind = Unknown
 		}
 		b.emit(Answer{Waiter: w, Job: sub.ID, Outcome: refusal})
@@ -237,7 +238,7 @@
 			unfinished++
 		}
 	}
-	if j.outcome.Kind == Refused && j.started {
+	if j.outcome.Kind == Refused && (j.started || j.startedEarlier) {
 		j.outcome.Kind = Unknown
 	}
 	// A refusal states that nothing has run, so it waits for each agent's
@@ -253,7 +254,7 @@
 	}
 	invariant.Check(j.answered, "broker_closed_job_answered", "job", j.sub.ID)
 	delete(b.jobs, j.sub.ID)
-	b.answers.Add(j.sub.ID, outcomes.Ended{Outcome: j.outcome, LastRun: j.lastRun}, now+b.settings.AnswerRetention)
+	b.answers.Add(j.sub.ID, outcomes.Ended{Outcome: j.outcome, LastRun: j.lastRun, Started: j.started || j.startedEarlier}, now+b.settings.AnswerRetention)
 	for _, p := range j.pending {
 		b.Submit(now, p.sub, p.waiter)
 	}
--- a/internal/outcomes/outcomes.go
+++ b/internal/outcomes/outcomes.go
@@ -12,6 +12,8 @@
 type Ended struct {
 	Outcome brokerapi.Outcome
 	LastRun uint64
+	// Started is whether a task of it has started or may have.
+	Started bool
 }
 
 // Final reports whether later copies of the request get this outcome as well: the job has ended
