--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -28,12 +28,10 @@
 )
 
 func (b *Broker) statsOf(queue string) *runtimes.Stats {
-	s := b.stats[queue]
-	if s == nil {
-		s = &runtimes.Stats{}
-		b.stats[queue] = s
+	if b.stats[queue] == nil {
+		b.stats[queue] = &runtimes.Stats{}
 	}
-	return s
+	return b.stats[queue]
 }
 
 // longestExpected returns the expected run time of the job's longest task.
