--- a/internal/broker/scarcity_test.go
+++ b/internal/broker/scarcity_test.go
@@ -159,6 +159,70 @@
 	}
 }
 
+// Guards against accepted work that is given up, or restarted elsewhere, once capacity is scarce or
+// its agent is slow to report: scarcity concerns arrivals only.
+func TestScarcityLeavesAcceptedWork(t *testing.T) {
+	g := newRig(t, "a", "b", "slow")
+	g.heartbeat("a", load(0))
+	g.heartbeat("b", load(0))
+	g.submitSized("accepted", 2, 4000)
+	assigned := messages[wire.Assign](g.takeEffects())
+	if len(assigned) != 1 || assigned[0].agent.Host != "slow" {
+		t.Fatalf("assigned %v, want one task at the agent with free capacity", assigned)
+	}
+	g.report(assigned[0], wire.RunStarted, "")
+	for i := range 50 {
+		g.now += 20 * time.Millisecond
+		g.b.Tick(g.now)
+		g.reportWaiting()
+		if i%20 == 0 {
+			l := load(0)
+			l.LastSeq = assigned[0].message.Seq
+			g.heartbeat("slow", l)
+		}
+		g.submitSized(fmt.Sprint("urgent", i), 0, 4000)
+		g.submitSized(fmt.Sprint("long", i), 2, 4000)
+		for _, e := range g.takeEffects() {
+			s, ok := e.(Send)
+			if _, withdraw := s.Message.(*wire.Withdraw); ok && withdraw {
+				t.Errorf("%v after %d jobs", s, i)
+			}
+			if d, ok := e.(Decision); ok && d.Job == "accepted" {
+				t.Errorf("%v after %d jobs", d, i)
+			}
+		}
+	}
+	if !g.b.scarcity["s"].Scarce(g.now) || g.b.jobs["accepted"] == nil {
+		t.Error("capacity is not scarce, or the job is gone")
+	}
+}
+
+// Guards against the capacity of agents that have left, whose upstream is not ready, or that are
+// silent in the sum on which scarcity rests: less urgent work would be admitted for it.
+func TestUnusableAgentsDoNotCount(t *testing.T) {
+	idle := load(10_000)
+	leaving, unready := idle, idle
+	leaving.Draining, unready.Ready = true, false
+	for name, lose := range map[string]func(*rig){
+		"disconnected": func(g *rig) { g.b.Disconnected(g.agents["c"]) },
+		"leaving":      func(g *rig) { g.heartbeat("c", leaving) },
+		"not ready":    func(g *rig) { g.heartbeat("c", unready) },
+		"silent":       func(g *rig) { g.now += g.b.settings.HeartbeatTimeout + time.Millisecond },
+	} {
+		g := scarce(t)
+		g.connect("c", "1")
+		g.heartbeat("c", idle)
+		lose(g)
+		g.now += snapshotInterval
+		g.reportWaiting()
+		before := g.b.scarcity["s"].Headroom()
+		g.submitSized("j", 2, 4000)
+		if after := g.b.scarcity["s"].Headroom(); after != before {
+			t.Errorf("%s: headroom %.2f with an agent that cannot be used, %.2f without it", name, after, before)
+		}
+	}
+}
+
 // Guards against a log that states the end of scarcity where it begins or is not judged: while the
 // part is off, and before a restarted entry has learned.
 func TestScarcityIsLoggedOnce(t *testing.T) {
