--- a/internal/broker/scarcity_test.go
+++ b/internal/broker/scarcity_test.go
@@ -94,9 +94,41 @@
 	g.heartbeat("b", l)
 }
 
-func (g *rig) submitSized(id string, priority, cpu int) {
+func sized(id string, priority, cpu int) Submission {
 	q := &catalog.Queue{Name: fmt.Sprint("q", priority), Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 60 * time.Millisecond}
-	g.b.Submit(g.now, Submission{ID: id, Queue: q, Tasks: []TaskSpec{{CPU: cpu, MemMB: 10, Estimate: 100 * time.Millisecond}}}, Waiter(g.b.LiveJobs()+1))
+	return Submission{ID: id, Queue: q, Tasks: []TaskSpec{{CPU: cpu, MemMB: 10, Estimate: 100 * time.Millisecond}}}
+}
+
+func (g *rig) submitSized(id string, priority, cpu int) {
+	g.b.Submit(g.now, sized(id, priority, cpu), Waiter(g.b.LiveJobs()+1))
+}
+
+// Guards against explanations that state another decision under scarcity than the job gets.
+func TestExplanationsUnderScarcity(t *testing.T) {
+	for want, prepare := range map[string]func(*rig){
+		"refuse": func(*rig) {},
+		"verify": func(g *rig) { g.now += reportMaxAge + time.Millisecond },
+		"place": func(g *rig) {
+			g.connect("free", "1")
+			g.heartbeat("free", load(10_000))
+		},
+	} {
+		g := scarce(t)
+		prepare(g)
+		g.takeEffects()
+		x := g.b.Explain(g.now, sized("", 2, 4000), 0, 10)
+		g.submitSized("j", 2, 4000)
+		effects := g.takeEffects()
+		got := "verify"
+		if a := answers(effects); len(a) == 1 && a[0].Outcome.Reason == reasonScarcity {
+			got = "refuse"
+		} else if len(messages[wire.Assign](effects)) == 1 {
+			got = "place"
+		}
+		if x.Decision != want || got != want || want != "place" && x.Reason != reasonScarcity {
+			t.Errorf("want %s, explained %s (%s), decided %s", want, x.Decision, x.Reason, got)
+		}
+	}
 }
 
 // Guards against jobs that are refused for more urgent work although they start at once.
