--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -28,12 +28,10 @@
 )
 
 func (b *Broker) statsOf(queue string) *runtimes.Stats {
-	s := b.stats[queue]
-	if s == nil {
-		s = &runtimes.Stats{}
-		b.stats[queue] = s
+	if b.stats[queue] == nil {
+		b.stats[queue] = &runtimes.Stats{}
 	}
-	return s
+	return b.stats[queue]
 }
 
 // longestExpected returns the expected run time of the job's longest task.
@@ -75,10 +73,16 @@
 		placements = b.plan(now, j)
 	}
 	v := b.judge(now, j, placements)
-	b.countDecision(now, j, v)
 	if v.Action != explain.Place {
 		cancelPlan(placements)
 	}
+	if v.Action == explain.Verify {
+		if b.verify(now, j) {
+			return Outcome{}, false
+		}
+		v.Action = explain.Refuse
+	}
+	b.countDecision(now, j, v)
 	switch v.Action {
 	case explain.Place:
 		for _, p := range placements {
@@ -90,12 +94,10 @@
 		}
 		return Outcome{}, false
 	case explain.Hold:
-		b.retain(now, j)
-		return Outcome{}, false
-	case explain.Verify:
-		if b.verify(now, j) {
-			return Outcome{}, false
+		for _, t := range j.tasks {
+			b.retainTask(now, t)
 		}
+		return Outcome{}, false
 	}
 	return b.refuse(j, b.refusal(v), v), true
 }
@@ -121,13 +123,7 @@
 	agentArrivalWindow = 60 * time.Millisecond
 )
 
-// retain adds a job's tasks to those that wait for an agent.
-func (b *Broker) retain(now time.Duration, j *job) {
-	for _, t := range j.tasks {
-		b.retainTask(now, t)
-	}
-}
-
+// retainTask adds a task to those that wait for an agent.
 func (b *Broker) retainTask(now time.Duration, t *task) {
 	if !t.unplaced {
 		t.unplaced, t.unplacedAt = true, now
@@ -179,27 +175,20 @@
 	}
 }
 
-// tooLate reports whether a job of which nothing has started would start too late
-// after the wait. It applies to tasks that are placed again, as when an upstream
-// that seemed to have free capacity turned out to have none. A task that was
-// accepted to wait and was withdrawn for an upstream with free capacity may wait
-// again for as long as one that stayed in its queue.
+// tooLate reports whether a job of which nothing has started would start too late after the
+// wait. It applies to tasks that are placed again, as when an upstream that seemed to have free
+// capacity turned out to have none. A task that was accepted to wait and was withdrawn for an
+// upstream with free capacity may wait again for as long as one that stayed in its queue.
 func (b *Broker) tooLate(now time.Duration, t *task, wait time.Duration) bool {
 	j := t.job
-	if j.started || wait == 0 {
+	// A task with an agent may be starting at this moment.
+	if j.started || wait == 0 || slices.ContainsFunc(j.tasks, func(o *task) bool { return o.agent != nil }) {
 		return false
 	}
-	for _, other := range j.tasks {
-		if other.agent != nil {
-			// It may be starting at this moment.
-			return false
-		}
-	}
-	limit := time.Duration(maxWaitShare * float64(j.slack()))
 	if t.acceptedToWait {
-		limit = j.startLimit()
+		return now-j.arrived+wait > j.startLimit()
 	}
-	return now-j.arrived+wait > limit
+	return now-j.arrived+wait > time.Duration(maxWaitShare*float64(j.slack()))
 }
 
 // retryAfter returns the retry delay for a job that was refused after a wait.
@@ -207,8 +196,9 @@
 	return b.jitter(minRetryAfter + j.startLimit())
 }
 
-// jitter adds up to half of the delay at random, to spread the retries of callers.
+// jitter adds up to half of the delay at random, to spread the retries of callers. The delay is
+// shortened first where the sum could exceed maxRetryAfter: long delays would otherwise be equal.
 func (b *Broker) jitter(d time.Duration) time.Duration {
-	d += time.Duration(b.random.Int63n(int64(d)/2 + 1))
-	return min(d, maxRetryAfter)
+	d = min(d, maxRetryAfter*2/3)
+	return d + time.Duration(b.random.Int63n(int64(d)/2+1))
 }
--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -32,31 +32,31 @@
 			}
 		}
 		if c.Observe(now, s) {
-			b.emitScarcity(now, service, c)
+			d := Decision{Action: "scarcity-ends", Reason: service, Headroom: c.Headroom()}
+			if c.Scarce(now) {
+				d.Action = "scarcity-begins"
+			}
+			b.emit(d)
 		}
 	}
 	c.Arrived(now, j.demand())
 }
 
 // judgeScarcity decides whether a job is refused because more urgent work needs the capacity.
-// Jobs that were asked about before, and those that may have run, have been admitted.
+// The refusal is verified first: reports that are a few tens of milliseconds old do not show the
+// capacity that has become free since. Jobs that may have run have been admitted.
 func (b *Broker) judgeScarcity(now time.Duration, j *job) (explain.Verdict, bool) {
 	c := b.scarcity[j.sub.Queue.Service]
-	if c == nil || j.verified || j.started {
+	if c == nil || j.started {
 		return explain.Verdict{}, false
 	}
 	s := c.Judge(now, j.demand())
 	v := explain.RefuseFor(reasonScarcity, s.RetryAfter)
 	v.Headroom, v.Share = s.Headroom, s.Share
-	return v, s.Refuse
-}
-
-func (b *Broker) emitScarcity(now time.Duration, service string, c *scarcity.Controller) {
-	d := Decision{Action: "scarcity-ends", Reason: service, Headroom: c.Headroom()}
-	if c.Scarce(now) {
-		d.Action = "scarcity-begins"
+	if !j.verified {
+		v.Action = explain.Verify
 	}
-	b.emit(d)
+	return v, s.Refuse
 }
 
 // countDecision handles the decision about a job.
--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -16,6 +16,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 const (
@@ -81,6 +83,8 @@
 
 // level is what is known of a priority.
 type level struct {
+	// priority is one of those that agents distinguish in their reports (wire.PriorityLevel).
+	// Work that waits would otherwise count once for each priority that is reported as the last.
 	priority int
 	// expected is the mean expected run time of its jobs.
 	expected time.Duration
@@ -105,6 +109,8 @@
 	// crossedAt is since when the headroom calls for the other state than scarce; 0 means that
 	// it does not.
 	crossedAt time.Duration
+	// reported is what Observe has reported last.
+	reported bool
 }
 
 // New returns a controller that has seen no job and no report.
@@ -116,11 +122,21 @@
 // Observe handles a new snapshot of the service's usable upstreams.
 // It reports whether scarcity has begun or ended.
 func (c *Controller) Observe(now time.Duration, s Snapshot) (changed bool) {
-	was := c.scarce
+	c.update(now, s)
+	was := c.reported
+	c.reported = c.Scarce(now)
+	return c.reported != was
+}
+
+func (c *Controller) update(now time.Duration, s Snapshot) {
+	if now-c.observedAt > snapshotMaxAge {
+		// Nothing is known of the time between, as after a pause of the process.
+		c.scarce, c.crossedAt = false, 0
+	}
 	c.snapshot, c.observedAt = s, now
 	if len(c.levels) < 2 || s.Capacity <= 0 {
 		c.scarce, c.crossedAt = false, 0
-		return c.scarce != was
+		return
 	}
 	last := len(c.levels) - 1
 	short := c.headroom(last) < c.settings.FullHeadroom
@@ -132,7 +148,6 @@
 	case short && now-c.crossedAt >= enterAfter, !short && now-c.crossedAt >= leaveAfter:
 		c.scarce, c.crossedAt = short, 0
 	}
-	return c.scarce != was
 }
 
 // Arrived handles the arrival of a job, whether it is admitted or not.
@@ -140,23 +155,27 @@
 	if c.learnedAt == 0 {
 		c.learnedAt = now + learnFor
 	}
-	l := c.level(now, j)
+	c.levels = slices.DeleteFunc(c.levels, func(l level) bool { return now-l.seenAt > priorityExpiry })
+	l := c.level(j)
 	l.seenAt = now
 	l.expected += time.Duration(runTimeWeight * float64(j.Expected-l.expected))
 }
 
-// level returns the state of the job's priority, and drops those without arrivals.
-func (c *Controller) level(now time.Duration, j Job) *level {
-	i, found := slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
-	if found {
-		return &c.levels[i]
+// level returns the state of the job's priority.
+func (c *Controller) level(j Job) *level {
+	priority := wire.PriorityLevel(j.Priority)
+	i, found := slices.BinarySearchFunc(c.levels, priority, func(l level, p int) int { return l.priority - p })
+	if !found {
+		c.levels = slices.Insert(c.levels, i, level{priority: priority, expected: j.Expected})
 	}
-	c.levels = slices.DeleteFunc(c.levels, func(l level) bool { return now-l.seenAt > priorityExpiry })
-	i, _ = slices.BinarySearchFunc(c.levels, j.Priority, func(l level, p int) int { return l.priority - p })
-	c.levels = slices.Insert(c.levels, i, level{priority: j.Priority, expected: j.Expected})
 	return &c.levels[i]
 }
 
+// index returns the position of a job's priority in levels, -1 if it is not there.
+func (c *Controller) index(priority int) int {
+	return slices.IndexFunc(c.levels, func(l level) bool { return l.priority == wire.PriorityLevel(priority) })
+}
+
 // Headroom returns the share of the service's capacity that is free, less what waits at any
 // priority, as of the last snapshot.
 func (c *Controller) Headroom() float64 {
@@ -178,7 +197,7 @@
 
 // share returns the share of a priority's jobs that is admitted now.
 func (c *Controller) share(now time.Duration, priority int) float64 {
-	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == priority })
+	i := c.index(priority)
 	if !c.Scarce(now) || i <= 0 {
 		return 1
 	}
@@ -193,7 +212,7 @@
 
 // Judge decides about a job. It changes nothing, so that explanations use it as well.
 func (c *Controller) Judge(now time.Duration, j Job) Verdict {
-	i := slices.IndexFunc(c.levels, func(l level) bool { return l.priority == j.Priority })
+	i := c.index(j.Priority)
 	if i <= 0 || !c.Scarce(now) {
 		return Verdict{Share: 1}
 	}
--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -149,6 +149,48 @@
 	}
 }
 
+// Guards against refusals in favour of a priority that no longer arrives.
+func TestPriorityWithoutArrivalsIsForgotten(t *testing.T) {
+	c := New(DefaultSettings())
+	short := fleet(0, 0, 0, 900)
+	play(c, time.Second, 2*time.Second, always(short), urgent, long)
+	got, of := play(c, 3*time.Second, priorityExpiry+2*time.Second, always(short), long)
+	if got["long"] != of {
+		t.Errorf("%d of %d jobs are admitted, want all: nothing more urgent has arrived for %v", got["long"], of, priorityExpiry)
+	}
+}
+
+// Guards against an entry that refuses on what it saw before it was paused or had no arrivals: one
+// short peak before and one after are not scarcity, and neither is scarcity that has begun before.
+func TestGapInSnapshots(t *testing.T) {
+	for name, before := range map[string]time.Duration{"a short peak": 50 * ms, "scarcity": time.Second} {
+		c := New(DefaultSettings())
+		play(c, time.Second, time.Second, always(fleet(20_000)), urgent, long)
+		play(c, 2*time.Second, before, always(fleet(0, 0, 0, 900)), urgent, long)
+		got, of := play(c, 10*time.Second, 50*ms, always(fleet(0, 0, 0, 900)), urgent, long)
+		if c.Scarce(10*time.Second+50*ms) || got["long"] != of {
+			t.Errorf("%s 7 s ago: %d of %d jobs are admitted within 50 ms, want all", name, got["long"], of)
+		}
+	}
+}
+
+// Guards against waiting work that counts several times: agents report all priorities from the
+// fourth on as one.
+func TestLastPrioritiesCountOnce(t *testing.T) {
+	c := New(DefaultSettings())
+	jobs := []Job{urgent, {Queue: "a", Priority: 3, Expected: 900 * ms}, {Queue: "b", Priority: 5, Expected: 900 * ms}, {Queue: "c", Priority: 7, Expected: 900 * ms}}
+	// The work of 0.08 of the capacity waits, less than the 0.1 at which scarcity begins.
+	got, of := play(c, time.Second, 3*time.Second, always(fleet(0, 0, 0, 0, 72)), jobs...)
+	for _, j := range jobs {
+		if got[j.Queue] != of {
+			t.Errorf("priority %d: %d of %d jobs are admitted, want all", j.Priority, got[j.Queue], of)
+		}
+	}
+	if c.Scarce(4 * time.Second) {
+		t.Errorf("capacity is scarce at a headroom of %.2f", c.Headroom())
+	}
+}
+
 // Guards against agents of an older version, which report no size of tasks and no forecast, that
 // count as idle, and against free capacity that is too small for a task.
 func TestSnapshot(t *testing.T) {
