Judge by the whole slack whether an off-rack run is on time

Cause: a job that has just arrived is accepted with a predicted wait of at most 0.3 of its slack. The rack decision took that part for the time left: with a Stretch of 1.6, nearly every run off the rack passed for late, and the surplus of a hot spot waited at the rack as "on-time-only-on-rack", or was refused there. The run time on a slow rack counted as time left as well, so that a task could wait past the time from which an off-rack run is late.

Change: the decision gets the time within which the task has to end. A run off the rack is on time if it ends 25 ms before that, which is the time to move a task after its wait (a tick and a round trip). Only a run on the rack that is on time itself justifies a wait for that reason.

--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -45,6 +45,7 @@
 func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
 	in := r.Input()
 	in.Now, in.Left, in.JobEnd = now, b.waitLeft(now, t), t.job.endOfOthers(now, t)
+	in.Within, in.MoveTime = t.job.timeLeft(now), rackMoveTime
 	return in
 }
 
@@ -60,7 +61,11 @@
 	return o.Agent, o.Scored, hold
 }
 
-// waitLeft returns how long the task may still wait with its job on time.
+// rackMoveTime is the longest time from the end of a task's wait for its rack to its assignment
+// off the rack: the interval of ticks (20 ms), a round trip and the agents' work.
+const rackMoveTime = 25 * time.Millisecond
+
+// waitLeft returns how long a wait may be predicted for the task with its job accepted.
 func (b *Broker) waitLeft(now time.Duration, t *task) time.Duration {
 	j := t.job
 	share := 1.0
--- /dev/null
+++ b/internal/broker/locality_waits_test.go
@@ -0,0 +1,80 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+// rackBusy returns the load of an agent on the rack r1 without free capacity, on which a task of
+// 4 cores is predicted to wait.
+func rackBusy(wait time.Duration) wire.Load {
+	l := rackLoadOf("r1", 0)
+	l.TaskCPU = 4000
+	for i := range l.WaitMS {
+		l.WaitMS[i], l.ReleaseRate[i] = uint16(wait/time.Millisecond), 100_000
+	}
+	return l
+}
+
+// newAdaptiveRig returns newRackRig with the product's rule and the given wait at the rack.
+func newAdaptiveRig(t *testing.T, farFactor float64, wait time.Duration) *rig {
+	g := newRackRig(t)
+	g.setRacks(locality.Settings{MaxWait: locality.DefaultMaxWait}, farFactor)
+	g.heartbeat("a", rackBusy(wait))
+	g.heartbeat("b", rackLoadOf("r2", 10_000))
+	g.takeEffects()
+	return g
+}
+
+// rackedJob returns a job of a task of 100 ms that prefers the rack r1 and has a slack of 112 ms.
+func rackedJob(id string) Submission {
+	sub := shape(1, TaskSpec{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond, PreferredRack: "r1"})
+	sub.ID, sub.Queue = id, queue
+	return sub
+}
+
+// Guards against a surplus at a hot spot that waits for as long as a job may at admission, as
+// if no run off the rack were on time.
+func TestSurplusOfAHotSpotDoesNotUseItsSlack(t *testing.T) {
+	g := newAdaptiveRig(t, 1.5, 10*time.Millisecond)
+	key := locality.Key{Service: "s", Rack: "r1"}
+	for i := range 200 {
+		g.b.racks.Placed(g.now, key, i%3 == 0, 100*time.Millisecond)
+	}
+	g.b.observeRacks(g.now)
+	g.b.Submit(g.now, rackedJob("j"), 1)
+	g.wantAssign(g.takeEffects(), "b", locality.ReasonWaitTooLong, false)
+}
+
+// Guards against a wait, mostly at a slow rack, after which a run off it is late: the wait ends
+// while such a run, with the time to move the task, is on time.
+func TestWaitLeavesTimeForOtherCapacity(t *testing.T) {
+	waited := 0
+	for slowness := uint32(60); slowness <= 200; slowness += 10 {
+		for _, factor := range []float64{1.2, 1.5, 1.7, 1.9, 2, 3} {
+			for wait := 2 * time.Millisecond; wait < 30*time.Millisecond; wait += 9 * time.Millisecond {
+				g := newAdaptiveRig(t, factor, wait)
+				l := rackBusy(wait)
+				l.Slowness = slowness
+				g.heartbeat("a", l)
+				g.b.Submit(g.now, rackedJob("j"), 1)
+				task := g.b.jobs["j"].tasks[0]
+				far := g.b.rackOptions(g.now, task).Far.Scored
+				late := far.Score() > task.job.timeLeft(g.now+rackMoveTime)
+				if d := rackDecisions(g.takeEffects()); late || len(d) != 1 || d[0].Agent != "a" || task.rack.WaitUntil == 0 {
+					continue
+				}
+				waited++
+				if left := task.job.timeLeft(task.rack.WaitUntil + rackMoveTime); far.End() > left {
+					t.Errorf("slowness %d, factor %.1f, predicted wait %v: a run off the rack after the wait takes %v, %v are left", slowness, factor, wait, far.End(), left)
+				}
+			}
+		}
+	}
+	if waited == 0 {
+		t.Error("no task waited")
+	}
+}
--- a/internal/locality/decide.go
+++ b/internal/locality/decide.go
@@ -58,8 +58,13 @@
 	// Release is the predicted time until capacity of the rack becomes free for a task that
 	// is held, after what waits there already; negative if unknown.
 	Release time.Duration
-	// Left is how long the task may still wait for a run on the rack with its job on time.
-	Left time.Duration
+	// Left is the longest predicted wait with which the job is accepted, Within the time in
+	// which the task has to end so that its job is on time. At admission, Left is a part of the
+	// slack only, so it does not tell whether a run ends on time.
+	Left, Within time.Duration
+	// MoveTime is the longest time from the end of a wait for the rack to the start elsewhere. A
+	// run off the rack that has less to spare counts as late: the estimates are off by as much.
+	MoveTime time.Duration
 	// JobEnd is the time until the last other task of the job is expected to end; a task
 	// that ends earlier gains nothing for its job.
 	JobEnd time.Duration
@@ -176,8 +181,9 @@
 		return Decision{Action: QueueNear, Reason: ReasonOnlyRack, Until: in.Now + in.MaxWait}
 	}
 	longer := far.Run - near.Run
-	// farLeft is how long the task may wait and then still end on time off the rack.
-	farLeft := in.Left - longer - far.Wait
+	// nearLeft and farLeft are how long the task may wait and then still end on time on the rack,
+	// and off it after a move.
+	nearLeft, farLeft := in.Within-near.Run-near.Penalty, in.Within-far.Cost()-in.MoveTime
 	most := min(in.MaxWait, max(in.Left, 0))
 	if farLeft >= 0 {
 		most = min(most, farLeft)
@@ -201,8 +207,8 @@
 		return Decision{Action: Far, Reason: ReasonRackSlow}
 	}
 	pays, reason := time.Duration(in.shareForAll()*(ownWeight*(1-in.NearLoad)*own+others)), ReasonWaitPays
-	if farLeft < 0 && pays < in.Left {
-		pays, reason = in.Left, ReasonOnlyOnTime
+	if onTime := min(in.Left, nearLeft); farLeft < 0 && pays < onTime {
+		pays, reason = onTime, ReasonOnlyOnTime
 	}
 	pays = min(pays, most)
 	if near.Wait <= pays {
--- a/internal/locality/decide_test.go
+++ b/internal/locality/decide_test.go
@@ -7,11 +7,14 @@
 
 const ms = time.Millisecond
 
+// unset stands for an Input.Within that follows from Left, the time left for a wait.
+const unset = -time.Hour
+
 // base is a task of 100 ms whose rack is full and that runs twice as long elsewhere.
 func base() Input {
 	return Input{
 		Now: time.Second, Near: Option{Usable: true, Wait: 20 * ms, Run: 100 * ms}, Far: Option{Usable: true, Run: 200 * ms},
-		Release: -1, Left: time.Second, NearLoad: 0.85, ShareForAll: 1, MaxWait: time.Second,
+		Release: -1, Left: time.Second, Within: unset, NearLoad: 0.85, ShareForAll: 1, MaxWait: time.Second,
 	}
 }
 
@@ -41,6 +44,14 @@
 		{"the job is late after the wait, off the rack as well", func(in *Input) { in.Left = 110 * ms }, Far, ReasonWaitTooLong},
 		{"only the rack is in time", func(in *Input) { in.Left = 90 * ms; in.Near.Wait = 80 * ms }, QueueNear, ReasonOnlyOnTime},
 		{"nothing is in time", func(in *Input) { in.Left = 10 * ms }, Far, ReasonWaitTooLong},
+		{"a hot spot at admission, where off-rack runs are on time", func(in *Input) { in.ShareForAll, in.Left, in.Within = 0.05, 30*ms, 260*ms }, Far, ReasonWaitTooLong},
+		{"the job is late on the rack as well", func(in *Input) { in.ShareForAll, in.Left, in.Within = 0.05, 30*ms, 110*ms }, Far, ReasonWaitTooLong},
+		{"a slow rack, after which an off-rack run is late", func(in *Input) {
+			in.Near.Run, in.Left, in.Within, in.ShareForAll, in.Price = 160*ms, 112*ms, 212*ms, 1, 1
+		}, Far, ReasonWaitTooLong},
+		{"no time to move off the rack after the wait", func(in *Input) { in.Within, in.MoveTime = 250*ms, 31*ms }, Far, ReasonWaitTooLong},
+		{"an off-rack run that is barely on time", func(in *Input) { in.ShareForAll, in.Left, in.Within, in.MoveTime = 0.05, 33*ms, 210*ms, 25*ms }, QueueNear, ReasonOnlyOnTime},
+		{"time enough to move off the rack", func(in *Input) { in.Within, in.MoveTime = 250*ms, 30*ms }, QueueNear, ReasonWaitPays},
 		{"another task ends later anyway", func(in *Input) { in.JobEnd = 900 * ms; in.Near.Wait = 150 * ms }, QueueNear, ReasonWaitPays},
 		{"both are busy", func(in *Input) { in.Near.Wait, in.Far.Wait = 300*ms, 400*ms; in.Left = 50 * ms }, QueueNear, ReasonAllBusy},
 		{"both are busy, with time left", func(in *Input) { in.Near.Wait, in.Far.Wait = 100*ms, 10*ms }, QueueNear, ReasonAllBusy},
@@ -52,6 +63,9 @@
 	} {
 		in := base()
 		c.change(&in)
+		if in.Within == unset {
+			in.Within = in.Left + in.Near.Run
+		}
 		if d := Decide(in); d.Action != c.want || d.Reason != c.reason {
 			t.Errorf("%s: %+v, want %v %s", c.name, d, c.want, c.reason)
 		}
@@ -68,6 +82,7 @@
 				for _, farWait := range []time.Duration{0, 50 * ms} {
 					in := base()
 					in.Near.Wait, in.Release, in.Left, in.Price, in.MaxWait, in.Far.Wait = wait, wait/2, left, price, 300*ms, farWait
+					in.Within = left + in.Near.Run
 					d := Decide(in)
 					if d.Action != QueueNear && d.Action != Hold {
 						continue
