Move waiting tasks only to rackmates that the next placement would choose

Cause: a task that waits at an upstream of its rack was withdrawn on each report of another one there with free capacity, also if that one fails, is avoided by the task, or may not run it after a crash. The placement then sent the task back, to the end of the queue, and the next report withdrew it again.

Change: the free upstream is assessed as in a placement, and has to be better than the present one.

Result: TestTaskDoesNotMoveToARackmateThatItAvoids sees withdrawals for an upstream whose runs all fail without the change, and none with it.

Conclusion: a task keeps its turn unless it gains by the move.

--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -149,10 +149,12 @@
 	for _, o := range b.agentList {
 		for _, t := range o.tasks {
 			if o == a || t.rack == nil || !t.rack.Queued() || t.started || t.withdrawn || t.job.closing ||
-				now-t.assignedAt < minQueued || !a.onRack(t.rack.Key.Rack) {
+				now-t.assignedAt < minQueued || t.spec.CPU > free || !a.onRack(t.rack.Key.Rack) {
 				continue
 			}
-			if t.spec.CPU > free || a.View.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
+			// An upstream that the next placement would not choose takes the task's turn at its
+			// present one for nothing, on each report.
+			if c, excluded := b.assess(now, a, t); excluded != "" || c.Wait > 0 || !c.Better(b.candidate(o, t), t.job.timeLeft(now)) {
 				continue
 			}
 			free -= t.spec.CPU
--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -78,3 +78,26 @@
 		t.Error("no task waited")
 	}
 }
+
+// Guards against a task that loses its turn at an upstream of its rack on each report of another
+// one that is free but fails, or that may not run it: it would be sent back each time.
+func TestTaskDoesNotMoveToARackmateThatItAvoids(t *testing.T) {
+	for _, free := range []string{"fails", "works"} {
+		g := newAdaptiveRig(t, 1.5, 10*time.Millisecond)
+		g.b.Submit(g.now, rackedJob("j"), 1)
+		g.wantAssign(g.takeEffects(), "a", locality.ReasonWaitPays, false)
+		g.connect("c", "1")
+		g.now += 2 * minQueued
+		l := rackLoadOf("r1", 10_000)
+		if free == "fails" {
+			l.FailurePercent = 100
+		}
+		for range 3 {
+			g.heartbeat("c", l)
+			g.now += minQueued
+		}
+		if n := len(messages[wire.Withdraw](g.takeEffects())); (n > 0) == (free == "fails") {
+			t.Errorf("%d withdrawals for a free upstream of the rack that %s", n, free)
+		}
+	}
+}
