Show in explanations where a hold may turn

Cause: an explanation compared whether the random part of the scores turns a decision between the rack and other capacity. A hold and a run off the rack passed for the same, so the explanation of a hold named no possible winner where the next draw places the task.

Change: the actions with the random part added to and taken from the rack are collected, and the candidates of each side that one of them chooses may win.

Conclusion: what an explanation excludes is not drawn.

--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -212,11 +212,18 @@
 	o = status.TaskOutlook{Index: t.index, ExpectedMS: explain.Milliseconds(t.expected)}
 	if rack != nil {
 		in := x.b.rackInput(x.now, t, sides)
-		near := x.onRackIf(rack, in, t, 0)
-		narrow := detailed && (x.onRackIf(rack, in, t, placement.SpreadJitter) != near || x.onRackIf(rack, in, t, -placement.SpreadJitter) != near)
+		var mayNear, mayFar bool
+		for _, random := range []time.Duration{-placement.SpreadJitter, placement.SpreadJitter} {
+			if !detailed {
+				break
+			}
+			action := x.actionIf(rack, in, t, random)
+			mayNear = mayNear || action == locality.NearNow || action == locality.QueueNear
+			mayFar = mayFar || action == locality.Far
+		}
 		d := x.racks.Choose(rack, in, x.b.heldCPU(t))
 		best, p.hold = sides.Chosen(d)
-		found.ByRack(best.Agent != nil, rack.Near, narrow)
+		found.ByRack(best.Agent != nil, rack.Near, mayNear, mayFar)
 		o.Reason = d.Reason
 		if p.hold {
 			o.Decision = string(explain.Hold)
@@ -232,13 +239,12 @@
 	return o, p
 }
 
-// onRackIf reports whether a task would go to its rack if that had so much more of a random part
-// than other capacity.
-func (x *explanation) onRackIf(rack *locality.Task, in locality.Input, t *task, random time.Duration) bool {
+// actionIf returns what would happen to a task if its rack had so much more of a random part than
+// other capacity.
+func (x *explanation) actionIf(rack *locality.Task, in locality.Input, t *task, random time.Duration) locality.Action {
 	r := *rack
 	in.Near.Penalty += random
-	d := x.racks.Choose(&r, in, x.b.heldCPU(t))
-	return d.Action == locality.NearNow || d.Action == locality.QueueNear
+	return x.racks.Choose(&r, in, x.b.heldCPU(t)).Action
 }
 
 // excludedBecause names the condition behind a reason of assess.
--- a/internal/broker/explain_rack_test.go
+++ b/internal/broker/explain_rack_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/damasklb/damasklb/internal/catalog"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/placement"
 	"github.com/damasklb/damasklb/internal/status"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -169,3 +170,30 @@
 		}
 	}
 }
+
+// Guards against an explanation of a hold that shows no possible winner although the random part
+// of the scores may decide for other capacity instead.
+func TestExplanationShowsWhereAHoldMayTurn(t *testing.T) {
+	g := newRackRig(t)
+	usual := time.Duration(-1)
+	g.setRacks(locality.Settings{MaxWait: locality.DefaultMaxWait, Decide: func(in locality.Input) locality.Decision {
+		more := in.Near.Penalty - in.Far.Penalty
+		if usual < 0 {
+			usual = more + placement.SpreadJitter
+		}
+		if more > usual+placement.SpreadJitter/2 {
+			return locality.Decision{Action: locality.Far, Reason: locality.ReasonWaitTooLong}
+		}
+		return alwaysHold(in)
+	}}, 1.5)
+	sub := Submission{Queue: holdQueue, Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond, PreferredRack: "r1"}}}
+	x := g.b.Explain(g.now, sub, 0, 10)
+	if len(x.Tasks) != 1 || x.Tasks[0].Decision != "hold" {
+		t.Fatalf("explained are %+v, want a hold", x.Tasks)
+	}
+	for _, c := range x.Candidates {
+		if c.Wins || c.MayWin != (c.Host == "b") {
+			t.Errorf("candidate %s: wins %v, may win %v; only b may", c.Host, c.Wins, c.MayWin)
+		}
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,15 +49,21 @@
 	// byRack is whether the task waits for a rack or was decided to go there or not: only
 	// candidates with this onRack may win, and none if noWinner is set.
 	byRack, onRack, noWinner bool
-	// narrow is whether the random part may decide for the other side.
-	narrow bool
+	// mayNear and mayFar are whether the random part may decide for the rack, or for other
+	// capacity.
+	mayNear, mayFar bool
 }
 
 // ByRack notes the decision about a task that prefers a rack: whether it is placed, and if so
-// whether on its rack, and whether the random part of the scores may turn that. The candidates
-// there come first.
-func (c *Candidates) ByRack(placed, onRack, narrow bool) {
-	c.byRack, c.onRack, c.noWinner, c.narrow = true, onRack, !placed, narrow
+// whether on its rack. mayNear and mayFar are the sides for which the random part of the scores
+// may decide. The candidates on the side of the decision come first.
+func (c *Candidates) ByRack(placed, onRack, mayNear, mayFar bool) {
+	c.byRack, c.onRack, c.noWinner, c.mayNear, c.mayFar = true, onRack, !placed, mayNear, mayFar
+}
+
+// possible reports whether the random part may decide for the candidate's side.
+func (c *Candidates) possible(x Candidate) bool {
+	return c.eligible(x) || (x.OnRack && c.mayNear) || (!x.OnRack && c.mayFar)
 }
 
 // eligible reports whether the decision about the rack leaves the candidate.
@@ -126,11 +132,8 @@
 	out.Wins = i == 0 && eligible
 	scored.Random = -jitter
 	// The best candidate of each side comes first there.
-	first := 0
-	if !eligible {
-		first = slices.IndexFunc(c.list, func(x Candidate) bool { return !c.eligible(x) })
-	}
-	out.MayWin = !out.Wins && (eligible || c.narrow) && scored.Better(c.list[first].Scored, within)
+	first := slices.IndexFunc(c.list, func(x Candidate) bool { return !c.byRack || x.OnRack == c.list[i].OnRack })
+	out.MayWin = !out.Wins && c.possible(c.list[i]) && scored.Better(c.list[first].Scored, within)
 	return out
 }
 
