Admit tasks by the wait predicted at their whole rack

Cause: a task that waits for its rack moves to the first upstream there that becomes free, and the rack decision predicts its wait so. The admission judged the same task by the wait at the one upstream where it queues, and refused jobs with a short wait, also while capacity off the rack was free for them.

Change: the choice has the wait that the decision predicts, in the admission, the log line and explanations.

The new test fails without the change: the job is not placed.

--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/explain"
 	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -101,3 +102,20 @@
 		}
 	}
 }
+
+// Guards against a refusal of a job whose task is to wait shortly for the first of several
+// upstreams to become free, because the wait at one of them alone would be too long.
+func TestAdmissionRestsOnTheWaitAtTheWholeRack(t *testing.T) {
+	g := newAdaptiveRig(t, 1.2, 60*time.Millisecond)
+	key := locality.Key{Service: "s", Rack: "r1"}
+	for range 100 {
+		g.b.racks.Released(g.now, key, 4000)
+		g.b.racks.Placed(g.now, key, true, 100*time.Millisecond)
+	}
+	x := g.b.Explain(g.now, rackedJob("j"), 0, 10)
+	g.b.Submit(g.now, rackedJob("j"), 1)
+	d := g.wantAssign(g.takeEffects(), "a", locality.ReasonWaitPays, false)
+	if d.Wait >= 60*time.Millisecond || x.Tasks[0].WaitMS != explain.Milliseconds(d.Wait) || x.Decision != "place" {
+		t.Errorf("a wait of %v, explained are %+v", d.Wait, x.Tasks[0])
+	}
+}
--- a/internal/locality/decide.go
+++ b/internal/locality/decide.go
@@ -146,6 +146,9 @@
 	MaxWait time.Duration
 	// Release is the predicted end of a hold.
 	Release time.Duration
+	// Wait is the predicted wait of a task that waits at an upstream of the rack. It differs
+	// from that of the upstream, because the task moves to the first one that becomes free.
+	Wait time.Duration
 }
 
 // shareForAll returns the part of the task's gain on the rack that is a gain for all tasks
--- a/internal/locality/sides.go
+++ b/internal/locality/sides.go
@@ -43,11 +43,16 @@
 // Input returns the input of a decision with the two sides as options.
 func (s *Sides[A]) Input() Input { return Input{Near: s.Near.option(), Far: s.Far.option()} }
 
-// Chosen returns the choice that a decision stands for, and whether the task is held instead.
+// Chosen returns the choice that a decision stands for, with the wait that it predicts, and
+// whether the task is held instead.
 func (s *Sides[A]) Chosen(d Decision) (c Choice[A], hold bool) {
 	switch d.Action {
-	case NearNow, QueueNear:
+	case NearNow:
 		return s.Near, false
+	case QueueNear:
+		c = s.Near
+		c.Scored.Wait = d.Wait
+		return c, false
 	case Far:
 		return s.Far, false
 	}
--- a/internal/locality/task.go
+++ b/internal/locality/task.go
@@ -130,6 +130,9 @@
 		in.MaxWait = max(0, min(in.MaxWait, t.WaitUntil-now))
 	}
 	d := r.settings.choose(in)
+	if d.Action == QueueNear {
+		d.Wait = in.Near.Wait
+	}
 	t.Decision, t.EndAt = d, 0
 	switch d.Action {
 	case NearNow, QueueNear:
