Decide again for tasks whose rack was the only capacity

Cause: a task whose rack had the only usable upstreams, as while agents connect, stayed in the queue there for up to damasklb.rack_max_wait_ms (1.5 s), also when other capacity became free, past the time from which a run there is late.

Change: such a wait has no end of its own. Once other capacity is free and better, the task is withdrawn and decided as a new one.

Conclusion: the bound of waits now holds for this case as well.

--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -119,3 +119,24 @@
 		t.Errorf("a wait of %v, explained are %+v", d.Wait, x.Tasks[0])
 	}
 }
+
+// Guards against a task that stays in the queue of its rack, the only capacity at its submission,
+// after other capacity has appeared, until a run there is late.
+func TestTaskLeavesTheOnlyRackForNewCapacity(t *testing.T) {
+	g := newAdaptiveRig(t, 1.5, 30*time.Millisecond)
+	g.b.Disconnected(g.agents["b"])
+	g.b.Submit(g.now, rackedJob("j"), 1)
+	g.wantAssign(g.takeEffects(), "a", locality.ReasonOnlyRack, false)
+	left := g.b.jobs["j"].timeLeft(g.now)
+	g.connect("c", "1")
+	for begin := g.now; g.now < begin+left-160*time.Millisecond; {
+		g.now += 20 * time.Millisecond
+		g.heartbeat("a", rackBusy(400*time.Millisecond))
+		g.heartbeat("c", rackLoadOf("r2", 10_000))
+		g.b.Tick(g.now)
+		if len(messages[wire.Withdraw](g.takeEffects())) > 0 {
+			return
+		}
+	}
+	t.Error("the task still waits at its rack")
+}
--- a/internal/locality/decide.go
+++ b/internal/locality/decide.go
@@ -140,7 +140,7 @@
 	Action Action
 	Reason string
 	// Until ends a hold, or is the time from which a task that waits at an upstream of the
-	// rack moves to free capacity off it.
+	// rack moves to free capacity off it; 0 means at once.
 	Until time.Duration
 	// MaxWait is the longest wait for the rack that pays off, from Input.Now.
 	MaxWait time.Duration
@@ -181,7 +181,8 @@
 	case near.Wait == 0 && (!far.Usable || near.Cost() <= far.Cost()):
 		return Decision{Action: NearNow, Reason: ReasonRackFree}
 	case !far.Usable:
-		return Decision{Action: QueueNear, Reason: ReasonOnlyRack, Until: in.Now + in.MaxWait}
+		// Whether a wait pays off is decided once there is other capacity.
+		return Decision{Action: QueueNear, Reason: ReasonOnlyRack}
 	}
 	longer := far.Run - near.Run
 	// nearLeft and farLeft are how long the task may wait and then still end on time on the rack,
