Compare the length of rack tasks with the mean on equal terms

Cause: the wait of a task that is longer than the mean of its rack is shortened. The length was the run time predicted for the chosen upstream, with its slowness, and the mean that of run times on a healthy one. On a rack that is slow by 2, a task of mean length passed for one of twice the mean, and its wait was shortened to less than that of a mean task.

Change: both are the run times expected on a healthy upstream.

Result: the new case of TestDecide fails without the change.

Conclusion: the rule depends on the tasks, not on the speed of the upstreams.

--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -45,7 +45,7 @@
 func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
 	in := r.Input()
 	in.Now, in.Left, in.JobEnd = now, b.waitLeft(now, t), t.job.endOfOthers(now, t)
-	in.Within, in.MoveTime = t.job.timeLeft(now), rackMoveTime
+	in.Within, in.MoveTime, in.Expected = t.job.timeLeft(now), rackMoveTime, t.expected
 	return in
 }
 
--- a/internal/locality/decide.go
+++ b/internal/locality/decide.go
@@ -70,8 +70,9 @@
 	JobEnd time.Duration
 	// ShareForAll is the part of the gain on the rack that is not a loss of a later task.
 	ShareForAll float64
-	// MeanRun is the mean run time on the rack of the tasks that prefer it; 0 if unknown.
-	MeanRun time.Duration
+	// Expected is the task's run time on a healthy upstream of the rack, MeanRun the mean of
+	// this for the recent tasks that prefer the rack; 0 if unknown.
+	Expected, MeanRun time.Duration
 	// NearLoad is the share of the rack's capacity in use of late.
 	NearLoad float64
 	// Price is the time that other tasks lose per unit of run time that is taken from the
@@ -158,7 +159,7 @@
 // most tasks find room, a long task may wait as long as one of mean length, so that its queue
 // gets a share of the rack.
 func (in *Input) shareForAll() float64 {
-	length := float64(in.Near.Run) / float64(max(in.MeanRun, 1))
+	length := float64(in.Expected) / float64(max(in.MeanRun, 1))
 	if in.MeanRun <= 0 || length <= 1 {
 		return in.ShareForAll
 	}
--- a/internal/locality/decide_test.go
+++ b/internal/locality/decide_test.go
@@ -14,7 +14,7 @@
 func base() Input {
 	return Input{
 		Now: time.Second, Near: Option{Usable: true, Wait: 20 * ms, Run: 100 * ms}, Far: Option{Usable: true, Run: 200 * ms},
-		Release: -1, Left: time.Second, Within: unset, NearLoad: 0.85, ShareForAll: 1, MaxWait: time.Second,
+		Release: -1, Left: time.Second, Within: unset, Expected: 100 * ms, NearLoad: 0.85, ShareForAll: 1, MaxWait: time.Second,
 	}
 }
 
@@ -36,6 +36,9 @@
 		{"a hot spot", func(in *Input) { in.ShareForAll = 0.05 }, Far, ReasonWaitTooLong},
 		{"a short task where not all tasks find room", func(in *Input) { in.ShareForAll, in.MeanRun = 0.7, 300*ms }, QueueNear, ReasonWaitPays},
 		{"a long task there", func(in *Input) { in.ShareForAll, in.MeanRun = 0.7, 30*ms }, Far, ReasonWaitTooLong},
+		{"a task of mean length on a slow rack there", func(in *Input) {
+			in.ShareForAll, in.MeanRun, in.Near.Run, in.Far.Run, in.Near.Wait = 0.7, 100*ms, 200*ms, 400*ms, 40*ms
+		}, QueueNear, ReasonWaitPays},
 		{"a very long task where most find room", func(in *Input) { in.ShareForAll, in.MeanRun, in.Near.Wait = 0.9, 5*ms, ms }, QueueNear, ReasonWaitPays},
 		{"a long task where all find room", func(in *Input) { in.MeanRun = 30 * ms }, QueueNear, ReasonWaitPays},
 		{"the rack is slow or fails", func(in *Input) { in.Near.Wait, in.Near.Penalty = 0, 300*ms }, Far, ReasonRackSlow},
