Test held tasks after a pause, and odd inputs of the rack decision

Two of the failures that operators have reported had no test for this part: a process that acts on an expired permission after a pause, here on a hold whose time has passed, and an input that ends the process.

--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -140,3 +140,72 @@
 	}
 	t.Error("the task still waits at its rack")
 }
+
+// Guards against an entry that acts on a hold whose time has passed while the process was paused:
+// it first learns which callers have left.
+func TestHeldTaskAfterAPause(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		g := newRackRig(t)
+		g.holdJob("j")
+		g.now += 600 * time.Millisecond
+		g.b.ProcessResumed(g.now)
+		if left {
+			g.b.CallerLeft(g.now, "j", 1)
+		}
+		report := func() int {
+			g.heartbeat("a", rackLoadOf("r1", 10_000))
+			g.heartbeat("b", rackLoadOf("r2", 10_000))
+			g.b.Tick(g.now)
+			return len(messages[wire.Assign](g.takeEffects()))
+		}
+		for end := g.now + g.b.settings.ResumeDelay; g.now < end; g.now += 5 * time.Millisecond {
+			if n := report(); n > 0 {
+				t.Fatalf("%d assignments before the delay after the pause has passed", n)
+			}
+		}
+		n := 0
+		for end := g.now + agentArrivalWindow; g.now < end; g.now += 5 * time.Millisecond {
+			n += report()
+		}
+		if (n == 1) == left {
+			t.Errorf("%d assignments after the delay; the caller has left: %v", n, left)
+		}
+	}
+}
+
+// Guards against inputs of agents and callers that end the process or give a wait that is no
+// number.
+func TestRackDecisionTakesOddInputs(t *testing.T) {
+	for _, cpu := range []int{0, 1, 4000, 1 << 30} {
+		for _, l := range []wire.Load{
+			{Ready: true, Service: "s"},
+			{Ready: true, Service: "s", Labels: []string{"r1", "r1", ""}, CapacityCPU: -1, FreeCPU: 1 << 40, Slowness: 1 << 31, FailurePercent: 1 << 31},
+			{Ready: true, Service: "s", Labels: []string{"r1"}, CapacityCPU: 1, FreeCPU: -1 << 40, QueuedWork: [wire.PriorityLevels]uint32{1 << 31, 1 << 31}},
+		} {
+			g := newAdaptiveRig(t, 1.5, 10*time.Millisecond)
+			for _, h := range []string{"a", "b"} {
+				g.heartbeat(h, l)
+			}
+			for i, rack := range []string{"r1", "", "none"} {
+				sub := Submission{ID: string(rune('j' + i)), Queue: queue, Tasks: []TaskSpec{{CPU: cpu, PreferredRack: rack}, {CPU: cpu, PreferredRack: rack}}}
+				x := g.b.Explain(g.now, sub, 0, 10)
+				g.b.Submit(g.now, sub, 1)
+				for _, o := range x.Tasks {
+					if !(o.WaitMS >= 0) {
+						t.Errorf("a wait of %v for %d of cpu at %+v", o.WaitMS, cpu, l)
+					}
+				}
+			}
+			for range 5 {
+				g.now += 20 * time.Millisecond
+				g.b.Tick(g.now)
+				for _, a := range messages[wire.Assign](g.takeEffects()) {
+					for _, state := range []wire.RunState{wire.RunStarted, wire.RunDone} {
+						g.b.Report(g.now, a.agent, wire.RunReport{Attempt: a.message.Attempt, State: state, Load: l})
+					}
+				}
+				g.heartbeat("a", l)
+			}
+		}
+	}
+}
