Test a hot spot that begins after even demand

TestHotSpotSpreadsAtOnce plays a hot spot from its first moment, when nothing says that tasks find room. The new test begins one after eight seconds of even demand, with the same bound: 5% of the off-rack tasks may have waited for the rack.

--- a/internal/leasetest/racks_faults_test.go
+++ b/internal/leasetest/racks_faults_test.go
@@ -1,6 +1,8 @@
 package leasetest
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +155,26 @@
 		t.Errorf("shares on the rack from %.2f to %.2f, want the worst at 0.8 of the best at least", worst, best)
 	}
 }
+
+// Plays a hot spot that begins after eight seconds of even demand, so that what was learned says
+// that all tasks find room. Guards against a surplus that first waits for the rack, as when loads
+// are averaged over seconds: of the tasks that run elsewhere, 5% at most may have waited.
+func TestLaterHotSpotSpreadsAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, factor := range []float64{1.5, 2, 3} {
+		t.Run(fmt.Sprintf("%.1f", factor), func(t *testing.T) {
+			far, regretted := 0, 0
+			for seed := range int64(5) {
+				l := rackLoad{seed: seed + 1, load: 0.5, farFactor: factor, shares: slices.Clone(evenRacks), policy: adaptive, duration: 12 * time.Second, stretch: 20}
+				r := l.play(func(w *world) {
+					w.after(8*time.Second, func() { copy(l.shares, hotRack) })
+				})
+				far, regretted = far+r.w.racks.starts-r.w.racks.nearStarts, regretted+r.w.racks.regretted
+			}
+			t.Logf("%d of %d off-rack tasks had waited", regretted, far)
+			if far < 1000 || 20*regretted > far {
+				t.Errorf("%d of %d off-rack tasks had waited for the rack, want 5%% at most", regretted, far)
+			}
+		})
+	}
+}
