--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -212,15 +212,7 @@
 	o = status.TaskOutlook{Index: t.index, ExpectedMS: explain.Milliseconds(t.expected)}
 	if rack != nil {
 		in := x.b.rackInput(x.now, t, sides)
-		var mayNear, mayFar bool
-		for _, random := range []time.Duration{-placement.SpreadJitter, placement.SpreadJitter} {
-			if !detailed {
-				break
-			}
-			action := x.actionIf(rack, in, t, random)
-			mayNear = mayNear || action == locality.NearNow || action == locality.QueueNear
-			mayFar = mayFar || action == locality.Far
-		}
+		mayNear, mayFar := x.racks.Possible(rack, in, x.b.heldCPU(t), placement.SpreadJitter)
 		d := x.racks.Choose(rack, in, x.b.heldCPU(t))
 		best, p.hold = sides.Chosen(d)
 		found.ByRack(best.Agent != nil, rack.Near, mayNear, mayFar)
@@ -239,14 +231,6 @@
 	return o, p
 }
 
-// actionIf returns what would happen to a task if its rack had so much more of a random part than
-// other capacity.
-func (x *explanation) actionIf(rack *locality.Task, in locality.Input, t *task, random time.Duration) locality.Action {
-	r := *rack
-	in.Near.Penalty += random
-	return x.racks.Choose(&r, in, x.b.heldCPU(t)).Action
-}
-
 // excludedBecause names the condition behind a reason of assess.
 func (b *Broker) excludedBecause(now time.Duration, a *agent, t *task, excluded string) string {
 	switch {
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -45,7 +45,7 @@
 func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
 	in := r.Input()
 	in.Now, in.Left, in.JobEnd = now, b.waitLeft(now, t), t.job.endOfOthers(now, t)
-	in.Within, in.MoveTime, in.Expected = t.job.timeLeft(now), rackMoveTime, t.expected
+	in.Within, in.Expected = t.job.timeLeft(now), t.expected
 	return in
 }
 
@@ -61,10 +61,6 @@
 	return o.Agent, o.Scored, hold
 }
 
-// rackMoveTime is the longest time from the end of a task's wait for its rack to its assignment
-// off the rack: the interval of ticks (20 ms), a round trip and the agents' work.
-const rackMoveTime = 25 * time.Millisecond
-
 // waitLeft returns how long a wait may be predicted for the task with its job accepted.
 func (b *Broker) waitLeft(now time.Duration, t *task) time.Duration {
 	j := t.job
@@ -176,9 +172,7 @@
 			fleet.Add(a.Service, a.View.Load.Labels, a.View.Load.CapacityCPU, free)
 		}
 	}
-	for _, key := range b.racks.Keys() {
-		b.racks.Observe(now, key, fleet.Report(key))
-	}
+	b.racks.ObserveAll(now, &fleet)
 }
 
 // placeHeld reports whether a held task is to be decided again on a tick: its hold is over,
--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -64,12 +64,12 @@
 				g.b.Submit(g.now, rackedJob("j"), 1)
 				task := g.b.jobs["j"].tasks[0]
 				far := g.b.rackOptions(g.now, task).Far.Scored
-				late := far.Score() > task.job.timeLeft(g.now+rackMoveTime)
+				late := far.Score() > task.job.timeLeft(g.now+locality.MoveTime)
 				if d := rackDecisions(g.takeEffects()); late || len(d) != 1 || d[0].Agent != "a" || task.rack.WaitUntil == 0 {
 					continue
 				}
 				waited++
-				if left := task.job.timeLeft(task.rack.WaitUntil + rackMoveTime); far.End() > left {
+				if left := task.job.timeLeft(task.rack.WaitUntil + locality.MoveTime); far.End() > left {
 					t.Errorf("slowness %d, factor %.1f, predicted wait %v: a run off the rack after the wait takes %v, %v are left", slowness, factor, wait, far.End(), left)
 				}
 			}
--- a/internal/locality/decide.go
+++ b/internal/locality/decide.go
@@ -16,6 +16,10 @@
 // task of a second costs more at a factor of 2.
 const DefaultMaxWait = 1500 * time.Millisecond
 
+// MoveTime is the longest time from the end of a task's wait for its rack to its assignment off
+// the rack: the interval of ticks (20 ms), a round trip and the agents' work.
+const MoveTime = 25 * time.Millisecond
+
 // Settings bound the wait for a rack.
 type Settings struct {
 	// MaxWait is the longest time that a task waits for capacity of its rack while other
--- a/internal/locality/fleet.go
+++ b/internal/locality/fleet.go
@@ -1,6 +1,9 @@
 package locality
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Fleet is the state of the usable upstreams of all services at one moment, summed up by rack, so
 // that the racks that callers name, which may be many, are not each compared with all upstreams.
@@ -36,3 +39,10 @@
 	r.OtherCPU, r.OtherUsedCPU = all.OtherCPU-r.CapacityCPU, all.OtherUsedCPU-r.UsedCPU
 	return r
 }
+
+// ObserveAll handles a report about all known racks.
+func (s *Supply) ObserveAll(now time.Duration, f *Fleet) {
+	for _, key := range s.keys {
+		s.Observe(now, key, f.Report(key))
+	}
+}
--- a/internal/locality/task.go
+++ b/internal/locality/task.go
@@ -121,7 +121,7 @@
 	in.Release = r.Release(now, t.Key, t.CPU, heldBefore)
 	in.ShareForAll, in.Price, in.NearLoad = r.ShareForAll(now, t.Key, t.CPU), r.Price(t.Key, t.CPU), r.Load(t.Key)
 	in.MeanRun = r.MeanRun(now, t.Key)
-	in.MaxWait = r.settings.MaxWait
+	in.MaxWait, in.MoveTime = r.settings.MaxWait, MoveTime
 	if in.Near.Wait > 0 {
 		in.Near.Wait = r.Wait(now, t.Key, in.Near.Wait, in.Release)
 	}
@@ -143,6 +143,22 @@
 	return d
 }
 
+// Possible returns the sides for which the decision may be if the random part of a score, which
+// is below jitter, is added. It changes nothing but the age of what is known.
+func (r *Racks) Possible(t *Task, in Input, heldBefore int, jitter time.Duration) (near, far bool) {
+	for _, random := range []time.Duration{-jitter, jitter} {
+		with, copied := in, *t
+		with.Near.Penalty += random
+		switch r.Choose(&copied, with, heldBefore).Action {
+		case NearNow, QueueNear:
+			near = true
+		case Far:
+			far = true
+		}
+	}
+	return near, far
+}
+
 func (r *Racks) placement(now time.Duration, t *Task) *Placement {
 	return &Placement{Rack: t.Key.Rack, Near: t.Near, MaxWait: t.Decision.MaxWait,
 		ShareForAll: r.ShareForAll(now, t.Key, t.CPU), Price: r.Price(t.Key, t.CPU)}
