List possible winners of an explanation before other candidates

Change: candidates that win or may win come first.

Result: TestExplanationListsPossibleWinnersFirst fails without the change.

Conclusion: the list shows each agent that may get the task, as far as there is room.

--- a/internal/broker/explain_rack_test.go
+++ b/internal/broker/explain_rack_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"reflect"
 	"testing"
@@ -171,14 +172,38 @@
 	}
 }
 
+// Guards against an explanation that has no room for a possible winner on the other side, because
+// agents that cannot win come before it.
+func TestExplanationListsPossibleWinnersFirst(t *testing.T) {
+	g := newRackRig(t)
+	g.connect("c", "1")
+	g.heartbeat("c", rackLoadOf("r1", 10_000))
+	usual := time.Duration(math.MinInt64)
+	g.setRacks(locality.Settings{MaxWait: locality.DefaultMaxWait, Decide: func(in locality.Input) locality.Decision {
+		more := in.Near.Penalty - in.Far.Penalty
+		if usual == math.MinInt64 {
+			usual = more + placement.SpreadJitter
+		}
+		if more > usual+placement.SpreadJitter/2 {
+			return locality.Decision{Action: locality.Far, Reason: locality.ReasonRackSlow}
+		}
+		return locality.Decision{Action: locality.NearNow, Reason: locality.ReasonRackFree}
+	}}, 1.5)
+	sub := Submission{Queue: holdQueue, Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond, PreferredRack: "r1"}}}
+	x := g.b.Explain(g.now, sub, 0, 2)
+	if len(x.Candidates) != 2 || x.CandidatesOmitted != 1 || x.Candidates[0].Host != "c" || !x.Candidates[0].Wins || x.Candidates[1].Host != "b" || !x.Candidates[1].MayWin {
+		t.Errorf("candidates %+v, want c, which wins, and b, which may", x.Candidates)
+	}
+}
+
 // Guards against an explanation of a hold that shows no possible winner although the random part
 // of the scores may decide for other capacity instead.
 func TestExplanationShowsWhereAHoldMayTurn(t *testing.T) {
 	g := newRackRig(t)
-	usual := time.Duration(-1)
+	usual := time.Duration(math.MinInt64)
 	g.setRacks(locality.Settings{MaxWait: locality.DefaultMaxWait, Decide: func(in locality.Input) locality.Decision {
 		more := in.Near.Penalty - in.Far.Penalty
-		if usual < 0 {
+		if usual == math.MinInt64 {
 			usual = more + placement.SpreadJitter
 		}
 		if more > usual+placement.SpreadJitter/2 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -87,8 +87,9 @@
 	}
 }
 
-// Finish adds the agents to an explanation, the best ones first and at most limit. within is
-// the time in which the task has to end, jitter the upper bound of the random part of a score.
+// Finish adds the agents to an explanation, the possible winners and the best ones first, and at
+// most limit. within is the time in which the task has to end, jitter the upper bound of the
+// random part of a score.
 func (c *Candidates) Finish(e *status.Explanation, limit int, within, jitter time.Duration) {
 	slices.SortStableFunc(c.list, func(x, y Candidate) int {
 		switch xe, ye := c.eligible(x), c.eligible(y); {
@@ -103,11 +104,23 @@
 		}
 		return 0
 	})
-	shown := min(len(c.list), limit)
-	for i := range shown {
-		e.Candidates = append(e.Candidates, c.shown(i, within, jitter))
+	all := make([]status.Candidate, len(c.list))
+	for i := range c.list {
+		all[i] = c.shown(i, within, jitter)
 	}
-	e.CandidatesOmitted = len(c.list) - shown
+	// Possible winners on the other side of a rack decision come before those that cannot win.
+	slices.SortStableFunc(all, func(x, y status.Candidate) int {
+		switch xw, yw := x.Wins || x.MayWin, y.Wins || y.MayWin; {
+		case xw && !yw:
+			return -1
+		case yw && !xw:
+			return 1
+		}
+		return 0
+	})
+	shown := min(len(all), limit)
+	e.Candidates = append(e.Candidates, all[:shown]...)
+	e.CandidatesOmitted = len(all) - shown
 	e.Excluded = c.Excluded()
 }
 
