--- a/internal/broker/explain_rack_test.go
+++ b/internal/broker/explain_rack_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"reflect"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/damasklb/damasklb/internal/catalog"
 	"github.com/damasklb/damasklb/internal/locality"
+	"github.com/damasklb/damasklb/internal/placement"
 	"github.com/damasklb/damasklb/internal/status"
 	"github.com/damasklb/damasklb/internal/wire"
 )
@@ -169,3 +171,54 @@
 		}
 	}
 }
+
+// Guards against an explanation that has no room for a possible winner on the other side, because
+// agents that cannot win come before it.
+func TestExplanationListsPossibleWinnersFirst(t *testing.T) {
+	g := newRackRig(t)
+	g.connect("c", "1")
+	g.heartbeat("c", rackLoadOf("r1", 10_000))
+	usual := time.Duration(math.MinInt64)
+	g.setRacks(locality.Settings{MaxWait: locality.DefaultMaxWait, Decide: func(in locality.Input) locality.Decision {
+		more := in.Near.Penalty - in.Far.Penalty
+		if usual == math.MinInt64 {
+			usual = more + placement.SpreadJitter
+		}
+		if more > usual+placement.SpreadJitter/2 {
+			return locality.Decision{Action: locality.Far, Reason: locality.ReasonRackSlow}
+		}
+		return locality.Decision{Action: locality.NearNow, Reason: locality.ReasonRackFree}
+	}}, 1.5)
+	sub := Submission{Queue: holdQueue, Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond, PreferredRack: "r1"}}}
+	x := g.b.Explain(g.now, sub, 0, 2)
+	if len(x.Candidates) != 2 || x.CandidatesOmitted != 1 || x.Candidates[0].Host != "c" || !x.Candidates[0].Wins || x.Candidates[1].Host != "b" || !x.Candidates[1].MayWin {
+		t.Errorf("candidates %+v, want c, which wins, and b, which may", x.Candidates)
+	}
+}
+
+// Guards against an explanation of a hold that shows no possible winner although the random part
+// of the scores may decide for other capacity instead.
+func TestExplanationShowsWhereAHoldMayTurn(t *testing.T) {
+	g := newRackRig(t)
+	usual := time.Duration(math.MinInt64)
+	g.setRacks(locality.Settings{MaxWait: locality.DefaultMaxWait, Decide: func(in locality.Input) locality.Decision {
+		more := in.Near.Penalty - in.Far.Penalty
+		if usual == math.MinInt64 {
+			usual = more + placement.SpreadJitter
+		}
+		if more > usual+placement.SpreadJitter/2 {
+			return locality.Decision{Action: locality.Far, Reason: locality.ReasonWaitTooLong}
+		}
+		return alwaysHold(in)
+	}}, 1.5)
+	sub := Submission{Queue: holdQueue, Tasks: []TaskSpec{{CPU: 4000, MemMB: 10, Estimate: 100 * time.Millisecond, PreferredRack: "r1"}}}
+	x := g.b.Explain(g.now, sub, 0, 10)
+	if len(x.Tasks) != 1 || x.Tasks[0].Decision != "hold" {
+		t.Fatalf("explained are %+v, want a hold", x.Tasks)
+	}
+	for _, c := range x.Candidates {
+		if c.Wins || c.MayWin != (c.Host == "b") {
+			t.Errorf("candidate %s: wins %v, may win %v; only b may", c.Host, c.Wins, c.MayWin)
+		}
+	}
+}
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -45,6 +45,7 @@
 func (b *Broker) rackInput(now time.Duration, t *task, r rackOptions) locality.Input {
 	in := r.Input()
 	in.Now, in.Left, in.JobEnd = now, b.waitLeft(now, t), t.job.endOfOthers(now, t)
+	in.Within, in.Expected = t.job.timeLeft(now), t.expected
 	return in
 }
 
@@ -60,7 +61,7 @@
 	return o.Agent, o.Scored, hold
 }
 
-// waitLeft returns how long the task may still wait with its job on time.
+// waitLeft returns how long a wait may be predicted for the task with its job accepted.
 func (b *Broker) waitLeft(now time.Duration, t *task) time.Duration {
 	j := t.job
 	share := 1.0
@@ -144,10 +145,12 @@
 	for _, o := range b.agentList {
 		for _, t := range o.tasks {
 			if o == a || t.rack == nil || !t.rack.Queued() || t.started || t.withdrawn || t.job.closing ||
-				now-t.assignedAt < minQueued || !a.onRack(t.rack.Key.Rack) {
+				now-t.assignedAt < minQueued || t.spec.CPU > free || !a.onRack(t.rack.Key.Rack) {
 				continue
 			}
-			if t.spec.CPU > free || a.View.Wait(t.demand()) > 0 || !a.serves(t) || a.atJobLimit(t) {
+			// An upstream that the next placement would not choose takes the task's turn at its
+			// present one for nothing, on each report.
+			if c, excluded := b.assess(now, a, t); excluded != "" || c.Wait > 0 || !c.Better(b.candidate(o, t), t.job.timeLeft(now)) {
 				continue
 			}
 			free -= t.spec.CPU
@@ -159,17 +162,17 @@
 // observeRacks renews what is known of the racks that tasks have named.
 func (b *Broker) observeRacks(now time.Duration) {
 	b.racks.Forget(now)
-	for _, key := range b.racks.Keys() {
-		var r locality.RackReport
-		for _, a := range b.agentList {
-			if a.Service != key.Service || !a.Usable(now, &b.settings.Limits) {
-				continue
-			}
+	if len(b.racks.Keys()) == 0 {
+		return
+	}
+	var fleet locality.Fleet
+	for _, a := range b.agentList {
+		if a.Usable(now, &b.settings.Limits) {
 			free, _, _ := a.View.Free(0)
-			r.Add(a.onRack(key.Rack), a.View.Load.CapacityCPU, free)
+			fleet.Add(a.Service, a.View.Load.Labels, a.View.Load.CapacityCPU, free)
 		}
-		b.racks.Observe(now, key, r)
 	}
+	b.racks.ObserveAll(now, &fleet)
 }
 
 // placeHeld reports whether a held task is to be decided again on a tick: its hold is over,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,15 +49,21 @@
 	// byRack is whether the task waits for a rack or was decided to go there or not: only
 	// candidates with this onRack may win, and none if noWinner is set.
 	byRack, onRack, noWinner bool
-	// narrow is whether the random part may decide for the other side.
-	narrow bool
+	// mayNear and mayFar are whether the random part may decide for the rack, or for other
+	// capacity.
+	mayNear, mayFar bool
 }
 
 // ByRack notes the decision about a task that prefers a rack: whether it is placed, and if so
-// whether on its rack, and whether the random part of the scores may turn that. The candidates
-// there come first.
-func (c *Candidates) ByRack(placed, onRack, narrow bool) {
-	c.byRack, c.onRack, c.noWinner, c.narrow = true, onRack, !placed, narrow
+// whether on its rack. mayNear and mayFar are the sides for which the random part of the scores
+// may decide. The candidates on the side of the decision come first.
+func (c *Candidates) ByRack(placed, onRack, mayNear, mayFar bool) {
+	c.byRack, c.onRack, c.noWinner, c.mayNear, c.mayFar = true, onRack, !placed, mayNear, mayFar
+}
+
+// possible reports whether the random part may decide for the candidate's side.
+func (c *Candidates) possible(x Candidate) bool {
+	return c.eligible(x) || (x.OnRack && c.mayNear) || (!x.OnRack && c.mayFar)
 }
 
 // eligible reports whether the decision about the rack leaves the candidate.
@@ -81,8 +87,9 @@
 	}
 }
 
-// Finish adds the agents to an explanation, the best ones first and at most limit. within is
-// the time in which the task has to end, jitter the upper bound of the random part of a score.
+// Finish adds the agents to an explanation, the possible winners and the best ones first, and at
+// most limit. within is the time in which the task has to end, jitter the upper bound of the
+// random part of a score.
 func (c *Candidates) Finish(e *status.Explanation, limit int, within, jitter time.Duration) {
 	slices.SortStableFunc(c.list, func(x, y Candidate) int {
 		switch xe, ye := c.eligible(x), c.eligible(y); {
@@ -97,11 +104,23 @@
 		}
 		return 0
 	})
-	shown := min(len(c.list), limit)
-	for i := range shown {
-		e.Candidates = append(e.Candidates, c.shown(i, within, jitter))
+	all := make([]status.Candidate, len(c.list))
+	for i := range c.list {
+		all[i] = c.shown(i, within, jitter)
 	}
-	e.CandidatesOmitted = len(c.list) - shown
+	// Possible winners on the other side of a rack decision come before those that cannot win.
+	slices.SortStableFunc(all, func(x, y status.Candidate) int {
+		switch xw, yw := x.Wins || x.MayWin, y.Wins || y.MayWin; {
+		case xw && !yw:
+			return -1
+		case yw && !xw:
+			return 1
+		}
+		return 0
+	})
+	shown := min(len(all), limit)
+	e.Candidates = append(e.Candidates, all[:shown]...)
+	e.CandidatesOmitted = len(all) - shown
 	e.Excluded = c.Excluded()
 }
 
@@ -126,11 +145,8 @@
 	out.Wins = i == 0 && eligible
 	scored.Random = -jitter
 	// The best candidate of each side comes first there.
-	first := 0
-	if !eligible {
-		first = slices.IndexFunc(c.list, func(x Candidate) bool { return !c.eligible(x) })
-	}
-	out.MayWin = !out.Wins && (eligible || c.narrow) && scored.Better(c.list[first].Scored, within)
+	first := slices.IndexFunc(c.list, func(x Candidate) bool { return !c.byRack || x.OnRack == c.list[i].OnRack })
+	out.MayWin = !out.Wins && c.possible(c.list[i]) && scored.Better(c.list[first].Scored, within)
 	return out
 }
 
--- a/internal/locality/decide.go
+++ b/internal/locality/decide.go
@@ -16,6 +16,10 @@
 // task of a second costs more at a factor of 2.
 const DefaultMaxWait = 1500 * time.Millisecond
 
+// MoveTime is the longest time from the end of a task's wait for its rack to its assignment off
+// the rack: the interval of ticks (20 ms), a round trip and the agents' work.
+const MoveTime = 25 * time.Millisecond
+
 // Settings bound the wait for a rack.
 type Settings struct {
 	// MaxWait is the longest time that a task waits for capacity of its rack while other
@@ -58,15 +62,21 @@
 	// Release is the predicted time until capacity of the rack becomes free for a task that
 	// is held, after what waits there already; negative if unknown.
 	Release time.Duration
-	// Left is how long the task may still wait for a run on the rack with its job on time.
-	Left time.Duration
+	// Left is the longest predicted wait with which the job is accepted, Within the time in
+	// which the task has to end so that its job is on time. At admission, Left is a part of the
+	// slack only, so it does not tell whether a run ends on time.
+	Left, Within time.Duration
+	// MoveTime is the longest time from the end of a wait for the rack to the start elsewhere. A
+	// run off the rack that has less to spare counts as late: the estimates are off by as much.
+	MoveTime time.Duration
 	// JobEnd is the time until the last other task of the job is expected to end; a task
 	// that ends earlier gains nothing for its job.
 	JobEnd time.Duration
 	// ShareForAll is the part of the gain on the rack that is not a loss of a later task.
 	ShareForAll float64
-	// MeanRun is the mean run time on the rack of the tasks that prefer it; 0 if unknown.
-	MeanRun time.Duration
+	// Expected is the task's run time on a healthy upstream of the rack, MeanRun the mean of
+	// this for the recent tasks that prefer the rack; 0 if unknown.
+	Expected, MeanRun time.Duration
 	// NearLoad is the share of the rack's capacity in use of late.
 	NearLoad float64
 	// Price is the time that other tasks lose per unit of run time that is taken from the
@@ -135,12 +145,15 @@
 	Action Action
 	Reason string
 	// Until ends a hold, or is the time from which a task that waits at an upstream of the
-	// rack moves to free capacity off it.
+	// rack moves to free capacity off it; 0 means at once.
 	Until time.Duration
 	// MaxWait is the longest wait for the rack that pays off, from Input.Now.
 	MaxWait time.Duration
 	// Release is the predicted end of a hold.
 	Release time.Duration
+	// Wait is the predicted wait of a task that waits at an upstream of the rack. It differs
+	// from that of the upstream, because the task moves to the first one that becomes free.
+	Wait time.Duration
 }
 
 // shareForAll returns the part of the task's gain on the rack that is a gain for all tasks
@@ -150,7 +163,7 @@
 // most tasks find room, a long task may wait as long as one of mean length, so that its queue
 // gets a share of the rack.
 func (in *Input) shareForAll() float64 {
-	length := float64(in.Near.Run) / float64(max(in.MeanRun, 1))
+	length := float64(in.Expected) / float64(max(in.MeanRun, 1))
 	if in.MeanRun <= 0 || length <= 1 {
 		return in.ShareForAll
 	}
@@ -173,11 +186,13 @@
 	case near.Wait == 0 && (!far.Usable || near.Cost() <= far.Cost()):
 		return Decision{Action: NearNow, Reason: ReasonRackFree}
 	case !far.Usable:
-		return Decision{Action: QueueNear, Reason: ReasonOnlyRack, Until: in.Now + in.MaxWait}
+		// Whether a wait pays off is decided once there is other capacity.
+		return Decision{Action: QueueNear, Reason: ReasonOnlyRack}
 	}
 	longer := far.Run - near.Run
-	// farLeft is how long the task may wait and then still end on time off the rack.
-	farLeft := in.Left - longer - far.Wait
+	// nearLeft and farLeft are how long the task may wait and then still end on time on the rack,
+	// and off it after a move.
+	nearLeft, farLeft := in.Within-near.Run-near.Penalty, in.Within-far.Cost()-in.MoveTime
 	most := min(in.MaxWait, max(in.Left, 0))
 	if farLeft >= 0 {
 		most = min(most, farLeft)
@@ -201,8 +216,8 @@
 		return Decision{Action: Far, Reason: ReasonRackSlow}
 	}
 	pays, reason := time.Duration(in.shareForAll()*(ownWeight*(1-in.NearLoad)*own+others)), ReasonWaitPays
-	if farLeft < 0 && pays < in.Left {
-		pays, reason = in.Left, ReasonOnlyOnTime
+	if onTime := min(in.Left, nearLeft); farLeft < 0 && pays < onTime {
+		pays, reason = onTime, ReasonOnlyOnTime
 	}
 	pays = min(pays, most)
 	if near.Wait <= pays {
