Show admission under scarcity in the status of an entry

Operators had to collect log lines to see whether a service is short of capacity. The comments of the limits state their reasons.

--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -66,3 +66,12 @@
 		c.Decided(now, j.demand(), admitted)
 	}
 }
+
+// ScarcityStates returns the state of admission under scarcity of each service.
+func (b *Broker) ScarcityStates(now time.Duration) map[string]scarcity.State {
+	states := map[string]scarcity.State{}
+	for service, c := range b.scarcity {
+		states[service] = c.State(now)
+	}
+	return states
+}
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -75,6 +75,7 @@
 		links:    map[broker.AgentID]*transport.TCPLink{},
 		requests: map[broker.Waiter]*request{},
 	}
+	e.AddSection("scarcity", func(now time.Duration, core *broker.Broker) any { return core.ScarcityStates(now) })
 	e.spawn(func() { e.accept(ctx, listener) })
 	e.spawn(func() { e.tick(ctx) })
 	e.spawn(func() { register(ctx, o.Store, o.Process, o.Log) })
--- a/internal/leased/status_test.go
+++ b/internal/leased/status_test.go
@@ -56,7 +56,7 @@
 	a := newTestAgent(t, &feed{}, address)
 	a.Announce(runner.Announcement{UpstreamID: runner.UpstreamID{ID: "u", StartMS: 7}, Service: "s", CPU: 10_000, MemMB: 100, Labels: []string{"r1"}, Seq: 1}, 1000)
 	eventually(t, "the entry is not ready", e.Ready)
-	e.AddSection("scarcity", func(now time.Duration, _ *broker.Broker) any { return map[string]bool{"scarce": now < 0} })
+	e.AddSection("another", func(now time.Duration, _ *broker.Broker) any { return map[string]bool{"on": now < 0} })
 	e.AddSection("endless", func(time.Duration, *broker.Broker) any { return strings.Repeat("x", maxSectionBytes) })
 
 	metrics := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "metrics of "+r.URL.Path) })
@@ -68,7 +68,7 @@
 	get(t, entry.URL+"/status", &s)
 	if s.Role != "entry" || s.ConfigVersion != 7 || !s.Ready || len(s.Agents) != 1 || s.Agents[0].State != "ready" || s.Agents[0].FreeCPU != 10_000 ||
 		len(s.Totals) != 1 || s.Totals[0].FreeCPU != 10_000 || s.EvacuationsAgeMS == nil ||
-		string(s.Sections["scarcity"]) != `{"scarce":false}` || !strings.Contains(string(s.Sections["endless"]), "error") {
+		string(s.Sections["another"]) != `{"on":false}` || string(s.Sections["scarcity"]) != "{}" || !strings.Contains(string(s.Sections["endless"]), "error") {
 		t.Errorf("status of the entry: %+v, sections %.200s", s, s.Sections)
 	}
 	var as status.HostedAgentStatus
@@ -87,6 +87,10 @@
 		outcome <- e.Run(t.Context(), broker.Submission{ID: "held", Queue: &q, Tasks: []broker.TaskSpec{{CPU: 1, RequiredLabel: "missing"}}})
 	}()
 	eventually(t, "the job does not arrive", func() bool { _, ok := e.State("held"); return ok })
+	get(t, entry.URL+"/status", &s)
+	if !strings.HasPrefix(string(s.Sections["scarcity"]), `{"s":{"scarce":false,`) {
+		t.Errorf("scarcity after the first job: %s", s.Sections["scarcity"])
+	}
 	code = get(t, entry.URL+"/explain?job=held", &x)
 	if code != 200 || x.Decision != "hold" || x.Reason != "no-agent-can-take-it" || len(x.Excluded) == 0 || x.Excluded[0].Reason != "label-missing" {
 		t.Errorf("explanation of a held job: status %d, %+v", code, x)
--- a/internal/scarcity/scarcity.go
+++ b/internal/scarcity/scarcity.go
@@ -27,15 +27,17 @@
 	// snapshotMaxAge is the age above which a snapshot no longer counts. Agents report at
 	// least every 200 ms.
 	snapshotMaxAge = 500 * time.Millisecond
-	// enterAfter is the time for which headroom has to be short before scarcity begins.
-	// It outlasts short peaks of a demand that fits; with 100 ms the worth of a long burst
-	// fell. leaveAfter is the time for which there has to be
-	// enough for all before scarcity ends; demand near the capacity crosses it often.
+	// enterAfter is the time for which headroom has to be short before scarcity begins: longer
+	// than the peaks of a demand that fits, and shorter than a burst needs to fill all queues.
+	// leaveAfter is the time for which there has to be enough for all before scarcity ends; demand
+	// near the capacity crosses that limit often.
 	enterAfter = 60 * time.Millisecond
 	leaveAfter = 300 * time.Millisecond
-	// priorityExpiry is the time without arrivals after which a priority no longer counts.
+	// priorityExpiry is the time without arrivals after which a priority no longer counts. An entry
+	// with few callers has gaps of seconds between jobs of one priority.
 	priorityExpiry = 10 * time.Second
-	// runTimeWeight is the weight of a job in the mean run time of its priority.
+	// runTimeWeight is the weight of a job in the mean run time of its priority: the last 20 jobs
+	// or so count, which is less than a second of arrivals at an entry under load.
 	runTimeWeight = 0.05
 	// rounding is the error of a sum of shares that still counts as a whole job.
 	rounding = 1e-9
@@ -58,7 +60,9 @@
 	FullHeadroom, Range, Step float64
 }
 
-// DefaultSettings returns the default limits.
+// DefaultSettings returns the default limits. Two fifths of the jobs are what the least urgent queue
+// keeps while it would otherwise lose most of them. A step of twice the range cuts a priority only
+// once all less urgent ones are at their floor.
 func DefaultSettings() Settings {
 	return Settings{Floor: 0.4, FullHeadroom: -0.1, Range: 0.2, Step: 0.4}
 }
--- a/internal/scarcity/scarcity_test.go
+++ b/internal/scarcity/scarcity_test.go
@@ -241,3 +241,27 @@
 		c.Decided(now, j, !c.Judge(now, j).Refuse)
 	}
 }
+
+// Guards against a status that states other shares than jobs are admitted with, and against one
+// that cannot be read before the first report.
+func TestState(t *testing.T) {
+	c := New(DefaultSettings())
+	if s := c.State(time.Second); s.Scarce || s.Headroom != 0 || len(s.Priorities) > 0 {
+		t.Errorf("state %+v before the first job", s)
+	}
+	c.Arrived(time.Second, urgent)
+	if s := c.State(time.Second); s.Scarce || s.Priorities[0].AdmittedShare != 1 {
+		t.Errorf("state %+v before the first report", s)
+	}
+	play(c, time.Second, 3*time.Second, always(fleet(0, 0, 120, 900)), urgent, middle, long)
+	now := 4 * time.Second
+	s := c.State(now)
+	if !s.Scarce || s.Headroom != c.Headroom() || s.SnapshotAgeMS != 10 || len(s.Priorities) != 3 {
+		t.Fatalf("state %+v", s)
+	}
+	for i, j := range []Job{urgent, middle, long} {
+		if p := s.Priorities[i]; p.Priority != j.Priority || p.AdmittedShare != c.Judge(now, j).Share {
+			t.Errorf("priority %d: %+v, jobs are admitted with %.2f", j.Priority, p, c.Judge(now, j).Share)
+		}
+	}
+}
