Log what each run of a task rests on, and count runs found after their end

Two runs of a task at a time could not be explained from the log: the second assignment did not say what the entry believed of the first run, starts named neither the upstream's incarnation nor the token and the end of the lease, and nobody noticed a run that was reported as ended and went on.

Assignments name the run before them, with the conclusion about it and its age. Starts log the upstream, token, end of the lease and the age of the confirmation, ends the ages of the last list and renewal. An agent that finds a run which it has reported as ended, and an entry to which an agent reports a run beside its replacement, log an error and count it. No decision changes.

--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -158,6 +158,7 @@
 		if wait {
 			continue
 		}
+		t.notePrevious(now, "lost", reason)
 		b.detach(t)
 		b.runLost(now, t)
 		b.placeAgain(now, t)
--- a/internal/broker/effects.go
+++ b/internal/broker/effects.go
@@ -17,6 +17,7 @@
 	Send             = brokerapi.Send
 	Answer           = brokerapi.Answer
 	Decision         = brokerapi.Decision
+	PreviousRun      = brokerapi.PreviousRun
 	QueryEvacuations = brokerapi.QueryEvacuations
 	Outcome          = brokerapi.Outcome
 	OutcomeKind      = brokerapi.OutcomeKind
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -94,6 +94,9 @@
 	lostRuns int
 	// rack is nil for a task that never waits for a rack.
 	rack *locality.Task
+	// previous is the last run that has ended, previousAt when the entry learned or concluded it.
+	previous   *PreviousRun
+	previousAt time.Duration
 	// liveAt is the agent that last refused the task because another run of it is live
 	// there, nil if there is none; liveRetryAt is when that agent is asked again.
 	liveAt      *agent
@@ -270,6 +273,7 @@
 	t := b.taskOf(m.Attempt)
 	if t == nil || t.agent != a {
 		if !m.State.Final() {
+			b.noteRunBeside(now, a, m)
 			b.send(a, &wire.Withdraw{Attempt: m.Attempt})
 		}
 		return
@@ -310,6 +314,7 @@
 	j := t.job
 	withdrawn := t.withdrawn
 	b.racks.Ended(now, t.rack, t.started, a.View.Load.Labels)
+	t.notePrevious(now, m.State.String(), m.Reason)
 	b.detach(t)
 	t.liveAt = nil
 	if m.State != wire.RunNotStarted || reasons.MayHaveRun(m.Reason) {
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -243,6 +243,11 @@
 	d := Decision{Job: j.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "assign",
 		Wait: wait, ReportAge: now - a.HeartbeatAt, FreeCPU: a.View.Load.FreeCPU}
 	d.Reason, d.Rack = b.racks.Assigned(now, t.rack)
+	if t.previous != nil {
+		p := *t.previous
+		p.Age = now - t.previousAt
+		d.Previous = &p
+	}
 	b.emit(d)
 }
 
--- a/internal/brokerapi/effects.go
+++ b/internal/brokerapi/effects.go
@@ -55,10 +55,23 @@
 	Runs, Crashes int
 	// Version is the store's version of the evacuation request that the decision follows.
 	Version uint64
+	// Previous is the run before the one that is assigned, nil for the first.
+	Previous *PreviousRun
 	// Rack is set for the placement or hold of a task that prefers a rack.
 	Rack *locality.Placement
 }
 
+// PreviousRun is what an entry believes of the last run of a task as it assigns the next.
+type PreviousRun struct {
+	Run                     uint64
+	Agent, AgentIncarnation string
+	// State and Reason say how the run ended: as its agent has reported, or as the entry
+	// has concluded.
+	State, Reason string
+	// Age is the time since that report or conclusion.
+	Age time.Duration
+}
+
 // OutcomeKind is the way in which a request ended.
 type OutcomeKind uint8
 
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -153,6 +153,8 @@
 		a.report(now, m)
 	case runner.Decision:
 		a.logDecision(m)
+	case runner.RunFound:
+		a.logRunFound(m)
 	case runner.Preempted:
 		a.logPreempted(m)
 	case runner.PreemptedEnded:
@@ -193,15 +195,21 @@
 	if m.Action == "start" {
 		queueTime.Update(m.Waited.Seconds())
 	}
-	a.log.Info(m.Action, "job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
-		"entry", m.Entry.Host, "reason", m.Reason, "free_cpu", m.FreeCPU, "waited_ms", m.Waited.Milliseconds())
+	fields := []any{"job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
+		"entry", m.Entry.Host, "reason", m.Reason, "free_cpu", m.FreeCPU, "waited_ms", m.Waited.Milliseconds()}
+	if s := m.Start; s != nil {
+		fields = append(fields, "entry_incarnation", m.Entry.Incarnation, "instance", s.Upstream.ID, "born", s.Upstream.StartMS,
+			"token", s.Token, "lease_end_ms", s.LeaseEndMS, "confirmation_age_ms", s.ConfirmationAge.Milliseconds())
+	}
+	a.log.Info(m.Action, fields...)
 }
 
 func (a *Agent) report(now time.Duration, m runner.Report) {
 	if m.State.Final() {
 		decisionCounter("end-" + m.State.String()).Inc()
 		a.log.Info("end", "job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
-			"entry", m.Entry.Host, "state", m.State.String(), "reason", m.Reason, "ran_ms", m.RunTime.Milliseconds())
+			"entry", m.Entry.Host, "state", m.State.String(), "reason", m.Reason, "ran_ms", m.RunTime.Milliseconds(),
+			"list_age_ms", m.ListAge.Milliseconds(), "lease_age_ms", m.LeaseAge.Milliseconds(), "instance", m.Upstream.ID, "born", m.Upstream.StartMS)
 	}
 	l := a.links[m.Entry]
 	if l == nil {
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -165,6 +165,9 @@
 	case "hold":
 		e.logRack(m)
 		return
+	case "run-beside":
+		e.logRunBeside(m)
+		return
 	case "give-up":
 		e.log.Warn("job given up", "job", m.Job, "reason", m.Reason, "crashes", m.Crashes)
 		return
@@ -173,8 +176,8 @@
 		e.logRack(m)
 		return
 	}
-	e.log.Info(m.Action, "job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
-		"wait_ms", m.Wait.Milliseconds(), "age_ms", m.ReportAge.Milliseconds(), "free_cpu", m.FreeCPU, "crashes", m.Crashes)
+	e.log.Info(m.Action, append([]any{"job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
+		"wait_ms", m.Wait.Milliseconds(), "age_ms", m.ReportAge.Milliseconds(), "free_cpu", m.FreeCPU, "crashes", m.Crashes}, previousFields(m.Previous)...)...)
 }
 
 func (e *Entry) tick(ctx context.Context) {
--- a/internal/leased/metrics.go
+++ b/internal/leased/metrics.go
@@ -27,6 +27,11 @@
 	upstreamCrashes = metrics.NewCounter("damasklb_hosted_upstream_crashes_total")
 	crashedRuns     = metrics.NewCounter("damasklb_hosted_runs_crashed_total")
 
+	// runsFound counts the runs that an upstream lists although its agent has reported them
+	// as ended, runsBeside those that an agent reports to an entry that has given them up.
+	runsFound  = metrics.NewCounter("damasklb_hosted_ended_runs_found_total")
+	runsBeside = metrics.NewCounter("damasklb_hosted_given_up_runs_reported_total")
+
 	// preemptedLost is the core time that was discarded by stops for more urgent work,
 	// preemptionStopTime the time from the stop to the end of the run.
 	preemptedLost      = metrics.NewFloatCounter("damasklb_hosted_preempted_core_seconds_total")
--- a/internal/leased/racks.go
+++ b/internal/leased/racks.go
@@ -6,10 +6,10 @@
 func (e *Entry) logRack(m broker.Decision) {
 	r := m.Rack
 	countRack(m)
-	e.log.Info(m.Action, "job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
+	e.log.Info(m.Action, append([]any{"job", m.Job, "task", m.Index, "run", m.Run, "agent", m.Agent, "reason", m.Reason,
 		"wait_ms", m.Wait.Milliseconds(), "age_ms", m.ReportAge.Milliseconds(), "free_cpu", m.FreeCPU,
 		"rack", r.Rack, "near", r.Near, "held_ms", r.Held.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(),
-		"share_for_all", r.ShareForAll, "price", r.Price, "regretted", r.Regretted)
+		"share_for_all", r.ShareForAll, "price", r.Price, "regretted", r.Regretted}, previousFields(m.Previous)...)...)
 }
 
 func countRack(m broker.Decision) {
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -65,6 +65,10 @@
 	// missingLists counts the consecutive lists that lack a confirmed run.
 	missingLists int
 	endedAt      time.Duration
+	// endedUpstream is the upstream's incarnation, listAge and leaseAge the ages of the last
+	// list and renewal, when the attempt ended.
+	endedUpstream     UpstreamID
+	listAge, leaseAge time.Duration
 	// charged is the core time that was charged to the budget when it was preempted.
 	charged time.Duration
 }
@@ -267,8 +271,11 @@
 	invariant.Check(!r.evacuated(), "runner_nothing_starts_in_evacuated_data_centre", "data_centre", r.settings.DataCentre)
 	invariant.Check(r.usedCPU <= r.upstream.CPU && r.usedMem <= r.upstream.MemMB, "runner_within_capacity",
 		"cpu", r.usedCPU, "capacity", r.upstream.CPU)
-	r.emit(StartRun{Upstream: r.upstream.UpstreamID, Attempt: a.id, Spec: a.assign.Spec, LeaseEndMS: r.lease.leaseEndMS(now, r.settings.Lease)})
-	r.emit(Decision{Entry: a.entry, Attempt: a.id, Action: "start", FreeCPU: r.upstream.CPU - r.usedCPU, Waited: now - (a.dueAt - time.Duration(a.assign.SlackMS)*time.Millisecond)})
+	basis := &StartBasis{Upstream: r.upstream.UpstreamID, Token: r.lease.token, LeaseEndMS: r.lease.leaseEndMS(now, r.settings.Lease),
+		ConfirmationAge: now - r.entry(a.entry).confirmedAt}
+	r.emit(StartRun{Upstream: basis.Upstream, Attempt: a.id, Spec: a.assign.Spec, LeaseEndMS: basis.LeaseEndMS})
+	r.emit(Decision{Entry: a.entry, Attempt: a.id, Action: "start", FreeCPU: r.upstream.CPU - r.usedCPU, Start: basis,
+		Waited: now - (a.dueAt - time.Duration(a.assign.SlackMS)*time.Millisecond)})
 	r.report(a)
 }
 
@@ -377,6 +384,7 @@
 	a.reason = reason
 	a.runTime = ran
 	a.endedAt = now
+	a.endedUpstream, a.listAge, a.leaseAge = r.upstreamID(), now-r.lease.lastListAt, now-r.lease.renewedAt
 	r.preemptedEnded(now, a)
 	if r.liveByTask[a.id.Task] == a {
 		delete(r.liveByTask, a.id.Task)
@@ -387,7 +395,8 @@
 }
 
 func (r *Runner) report(a *attempt) {
-	r.emit(Report{Entry: a.entry, Attempt: a.id, State: a.state, Reason: a.reason, RunTime: a.runTime})
+	r.emit(Report{Entry: a.entry, Attempt: a.id, State: a.state, Reason: a.reason, RunTime: a.runTime,
+		ListAge: a.listAge, LeaseAge: a.leaseAge, Upstream: a.endedUpstream})
 }
 
 func (r *Runner) dropWaiting(now time.Duration, reason string) {
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -34,6 +34,20 @@
 	State   wire.RunState
 	Reason  string
 	RunTime time.Duration
+	// ListAge and LeaseAge are, for an attempt that has ended, the ages of the last list of
+	// runs and of the last renewal of the lease at that time. Upstream is the incarnation
+	// that was the present one then.
+	ListAge, LeaseAge time.Duration
+	Upstream          UpstreamID
+}
+
+// RunFound reports a run that the upstream lists although the agent has reported it as ended.
+type RunFound struct {
+	Attempt wire.LeasedAttempt
+	// State and Reason are those that were reported, Age the time since.
+	State  wire.RunState
+	Reason string
+	Age    time.Duration
 }
 
 // ReadyChanged reports that the upstream may start tasks now, or no longer. Entries
@@ -49,6 +63,18 @@
 	Reason  string
 	FreeCPU int
 	Waited  time.Duration
+	// Start holds what a start rests on; it is nil for other decisions.
+	Start *StartBasis
+}
+
+// StartBasis is what the start of an attempt rests on.
+type StartBasis struct {
+	Upstream UpstreamID
+	Token    uint64
+	// LeaseEndMS is the end of the lease on the upstream's clock.
+	LeaseEndMS int64
+	// ConfirmationAge is the age of the entry's last confirmation.
+	ConfirmationAge time.Duration
 }
 
 // StartOutcome is what is known after a start command.
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -245,6 +245,9 @@
 		}
 		switch {
 		case a == nil || (a.phase == phaseEnded && a.endedAt < list.RequestedAt):
+			if a != nil && r.foreign[id] == nil {
+				r.emit(RunFound{Attempt: id, State: a.state, Reason: a.reason, Age: now - a.endedAt})
+			}
 			r.stopForeign(now, id)
 		case a.phase == phaseStarting:
 			a.phase = phaseRunning
