Add tests of an upstream that refuses connections while its runs go on

Callers saw two runs of a task at the same time. An agent takes a refused connection for the end of the upstream and reports its runs as ended at once; their entry starts them elsewhere. An upstream that only closes its listener for a while goes on with them until their lease ends, 598 ms after the last renewal.

No product code changes.

--- /dev/null
+++ b/internal/leasetest/run_ends_test.go
@@ -0,0 +1,59 @@
+package leasetest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
+)
+
+// addJob adds a job of one task that is not submitted yet.
+func (w *world) addJob(id string, cpu int, runTime time.Duration) *clientJob {
+	j := &clientJob{id: id, done: map[int]bool{}, tasks: []taskSpec{{cpu: cpu, runTime: runTime}}}
+	w.jobs[id] = j
+	return j
+}
+
+// hostOf returns the host on which a job's task runs.
+func (w *world) hostOf(t *testing.T, j *clientJob) int {
+	t.Helper()
+	for _, u := range w.upstreams {
+		for id := range u.runs {
+			if id.Task == (wire.LeasedTask{Job: j.id}) {
+				return u.host
+			}
+		}
+	}
+	t.Fatalf("job %s runs nowhere: %v", j.id, w.log)
+	return -1
+}
+
+// reportFailure fails the test if an invariant was violated, and shows the log.
+func (w *world) reportFailure(t *testing.T) {
+	t.Helper()
+	if w.failure == "" {
+		return
+	}
+	t.Errorf("%s", w.failure)
+	for _, line := range w.log {
+		t.Log(line)
+	}
+}
+
+// Guards against two runs of a task at a time if an upstream refuses connections for a while
+// and its runs go on.
+func TestUpstreamThatRefusesConnectionsKeepsItsRuns(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 3)
+	w.run(300 * time.Millisecond)
+	j := w.addJob("job0", 4000, 800*time.Millisecond)
+	w.submit(j, w.entries[0])
+	w.run(100 * time.Millisecond)
+	u := w.upstreams[w.hostOf(t, j)]
+	w.logf("upstream %d refuses connections", u.host)
+	u.down = true
+	w.after(200*time.Millisecond, func() { u.down = false })
+	w.run(5 * time.Second)
+	w.checkAllEnded()
+	w.reportFailure(t)
+}
