Add tests of starts that renew the lease of an unstopped run

A start command carries a new end of the lease as well, which counts for all runs of the upstream, and nothing holds starts back meanwhile.

The simulated upstream can hold the stop commands of a job back.

--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -130,6 +130,10 @@
 			closeConn()
 			delete(a.openingStarts, m.Attempt)
 		}
+		if a.upstream().holdsStopsOf == m.Attempt.Task.Job {
+			a.w.after(5*time.Second, func() { a.upstream().stop(m, token) })
+			return
+		}
 		a.sendCommand(wire.LeasedAttempt{}, func() {
 			ok := a.upstream().stop(m, token)
 			back(func() { a.do(func(r *runner.Runner) { r.Stopped(a.now(), m.Attempt, ok) }) })
--- a/internal/leasetest/run_ends_test.go
+++ b/internal/leasetest/run_ends_test.go
@@ -1,6 +1,7 @@
 package leasetest
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,43 @@
 	w.checkAllEnded()
 	w.reportFailure(t)
 }
+
+// loseHost ends an entry whose host has lost power. Its callers submit their jobs to another
+// entry at the earliest time that they may.
+func (w *world) loseHost(e, other *entry) {
+	w.logf("entry %d ends", e.index)
+	e.paused = true
+	for _, j := range e.waiting {
+		w.leave(j, other)
+	}
+}
+
+// leave closes the caller's connection without the entry's knowledge. The caller submits the
+// job to another entry at the earliest time that it may.
+func (w *world) leave(j *clientJob, other *entry) {
+	w.logf("job %s: connection to entry %d is closed", j.id, j.entry.index)
+	j.entry = nil
+	w.after(resendAfter, func() { w.submit(j, other) })
+}
+
+// Guards against two runs of a task at a time if its entry ends and its upstream holds the
+// stop commands back, while it carries out the starts of another entry.
+func TestStartsDoNotPreserveTheRunOfAnEntryThatHasEnded(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 2)
+	w.upstreams[0].capacity, w.upstreams[1].capacity = 10_000, 10_000
+	w.run(300 * time.Millisecond)
+	j := w.addJob("job0", 4000, 5*time.Second)
+	w.submit(j, w.entries[0])
+	w.run(100 * time.Millisecond)
+	u := w.upstreams[w.hostOf(t, j)]
+	u.holdsStopsOf = j.id
+	w.loseHost(w.entries[0], w.entries[1])
+	for n := range 100 {
+		w.submit(w.addJob(fmt.Sprintf("other%d", n), 2000, 100*time.Millisecond), w.entries[1])
+		w.run(18 * time.Millisecond)
+	}
+	u.holdsStopsOf = ""
+	w.run(10 * time.Second)
+	w.reportFailure(t)
+}
--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -23,6 +23,8 @@
 	// down is set from a crash until the next incarnation: connections are refused, or
 	// get no answer if silent is set.
 	down, silent bool
+	// holdsStopsOf is a job whose stop commands are held back without an answer.
+	holdsStopsOf string
 	// slow multiplies run times; while hung is set no run ends by itself.
 	slow       float64
 	hung       bool
--- a/internal/runner/run_ends_test.go
+++ b/internal/runner/run_ends_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // startRun assigns a task of entryA and confirms its start.
@@ -39,3 +41,28 @@
 		t.Errorf("the run was reported as ended %v before its lease ends: %v", r.settings.Lease-10*time.Millisecond, reports)
 	}
 }
+
+// Guards against a run that outlives its entry: each start renews the lease of all runs, that
+// of a run whose stop gets no answer included.
+func TestStartDoesNotRenewTheLeaseOfAnUnstoppedRun(t *testing.T) {
+	r := newReady(t)
+	startRun(t, r, begin, "j1")
+	r.Tick(begin + r.settings.ConfirmationTimeout + time.Millisecond)
+	if n := len(effects[StopRun](r)); n != 1 {
+		t.Fatalf("%d stops, want 1", n)
+	}
+	overdue := begin + r.settings.ConfirmationTimeout + r.settings.StopAnswerTimeout + 20*time.Millisecond
+	r.Tick(overdue)
+	r.ListReceived(overdue, RunList{RequestedAt: overdue - time.Millisecond, ClockMS: 500 + int64((overdue-begin)/time.Millisecond),
+		StartMS: incarnation.StartMS, Running: []wire.LeasedAttempt{attemptOf("j1", 1)}})
+	r.TakeEffects()
+	if request := r.NextListRequest(overdue); request.LeaseEndMS != 0 {
+		t.Fatalf("a list request renews the lease to %d", request.LeaseEndMS)
+	}
+	r.Connected(overdue, entryB)
+	assign(r, overdue, entryB, "j2", nil)
+	for _, m := range effects[StartRun](r) {
+		t.Errorf("a start renews the lease of the unstopped run to %d, %d ms after its entry's last confirmation",
+			m.LeaseEndMS, m.LeaseEndMS-500)
+	}
+}
