Add a test of a lease that is renewed for a silent entry

Only a tick notices that an entry is silent. A list request that an agent makes before it, after a pause or while its ticks are late, renews the lease whatever the age of the last confirmation, so the bound of runs without confirmation depends on the delay of ticks.

--- a/internal/runner/run_ends_test.go
+++ b/internal/runner/run_ends_test.go
@@ -66,3 +66,14 @@
 			m.LeaseEndMS, m.LeaseEndMS-500)
 	}
 }
+
+// Guards against a run that outlives its entry: an agent that resumes after a pause requests a
+// list before its next tick.
+func TestLeaseOfASilentEntrysRunIsNotRenewedBeforeTheTick(t *testing.T) {
+	r := newReady(t)
+	startRun(t, r, begin, "j1")
+	resumed := begin + r.settings.ConfirmationTimeout + r.settings.StopAnswerTimeout + 300*time.Millisecond
+	if request := r.NextListRequest(resumed); request.LeaseEndMS != 0 {
+		t.Errorf("the lease is renewed to %d ms after the entry's last confirmation", request.LeaseEndMS-500)
+	}
+}
