--- a/internal/runner/run_ends_test.go
+++ b/internal/runner/run_ends_test.go
@@ -77,3 +77,24 @@
 		t.Errorf("the lease is renewed to %d ms after the entry's last confirmation", request.LeaseEndMS-500)
 	}
 }
+
+// Guards against runs of the present incarnation that are given up because a start command for
+// the earlier one was refused.
+func TestRefusalOfAnEarlierIncarnationsStartEndsNoRun(t *testing.T) {
+	r := newReady(t)
+	assign(r, begin, entryA, "j1", nil)
+	next := UpstreamID{ID: "u2", StartMS: incarnation.StartMS + 1}
+	r.Announce(begin+time.Millisecond, Announcement{UpstreamID: next, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 1})
+	r.ListReceived(begin+3*time.Millisecond, RunList{RequestedAt: begin + 2*time.Millisecond, ClockMS: 5, StartMS: next.StartMS})
+	r.TakeEffects()
+	startRun(t, r, begin+4*time.Millisecond, "j2")
+	r.Started(begin+5*time.Millisecond, attemptOf("j1", 1), StartAnswer{Outcome: StartRefused, Reason: ReasonOtherIncarnation})
+	for _, m := range finalReports(r) {
+		if m.Attempt == attemptOf("j2", 1) {
+			t.Errorf("the run of the present incarnation was given up: %v %q", m.State, m.Reason)
+		}
+	}
+	if r.UpstreamID() != next {
+		t.Errorf("upstream %v, want %v", r.UpstreamID(), next)
+	}
+}
