Add a test of lists that were made before a start was carried out

Three lists in a row without a confirmed run end it. Only those requested before the start command was sent are left out, so lists that a slow upstream made between the sending and the carrying out of the command count as well, if the agent handles their answers after that of the start.

The test fails: the run is given up as vanished 2 ms after its confirmation.

--- a/internal/runner/run_ends_test.go
+++ b/internal/runner/run_ends_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// Guards against a run that is given up because lists lack it that the upstream made before it
+// carried out the start command.
+func TestListsRequestedBeforeTheConfirmationDoNotEndTheRun(t *testing.T) {
+	r := newReady(t)
+	assign(r, begin, entryA, "j1", nil)
+	confirmed := begin + 70*time.Millisecond
+	r.Started(confirmed, attemptOf("j1", 1), StartAnswer{Outcome: StartAccepted})
+	r.TakeEffects()
+	for i := range time.Duration(maxMissingLists) {
+		requested := begin + 17*time.Millisecond + i*listRetry
+		r.ListReceived(confirmed+i*time.Millisecond, RunList{RequestedAt: requested, ClockMS: 520, StartMS: incarnation.StartMS})
+	}
+	if reports := finalReports(r); len(reports) != 0 {
+		t.Errorf("the run was given up: %v", reports)
+	}
+}
+
 // Guards against a run that is given up within its lease: the lease is computed from the clock
 // of the earlier incarnation if a start command's answer of that incarnation is handled late.
 func TestClockOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
