--- a/internal/leasetest/run_ends_test.go
+++ b/internal/leasetest/run_ends_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/broker"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -98,3 +99,32 @@
 	w.run(10 * time.Second)
 	w.reportFailure(t)
 }
+
+// Guards against two runs of a task at a time if an entry that resumes after a pause takes
+// longer than the delay of its first commands to learn that a caller has left.
+func TestResumedEntryLearnsLateThatACallerHasLeft(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(10) {
+		w := newWorld(seed, 2, 3)
+		w.run(300 * time.Millisecond)
+		e, j := w.entries[0], w.addJob("job0", 15_000, 5*time.Second)
+		w.submit(j, e)
+		w.run(100 * time.Millisecond)
+		w.logf("entry 0 is paused")
+		e.paused = true
+		w.run(100 * time.Millisecond)
+		w.leave(j, w.entries[1])
+		w.run(2 * time.Second)
+		w.logf("entry 0 resumes")
+		e.resume(w)
+		w.run(handledAfterResume)
+		w.logf("entry 0 learns that the caller has left")
+		e.do(func(c *broker.Broker) { c.CallerLeft(e.now(), j.id, 1) })
+		w.run(10 * time.Second)
+		w.reportFailure(t)
+	}
+}
+
+// handledAfterResume is the time after which a resumed entry with a fifth of a core has handled
+// the ends of some hundred connections.
+const handledAfterResume = 100 * time.Millisecond
