Add a test of a withdrawal that overtakes its Assign

A withdrawal of an attempt that an agent does not know bars it, so that a late Assign starts nothing. If the agent still has the ended run of another entry under the same number, the withdrawal is answered as replaced and bars nothing.

The test fails: the attempt starts after it was reported as ended.

--- a/internal/runner/run_ends_test.go
+++ b/internal/runner/run_ends_test.go
@@ -115,3 +115,22 @@
 		t.Errorf("the run was given up: %v", reports)
 	}
 }
+
+// Guards against a run that starts after it was reported as ended: a withdrawal that overtakes
+// its Assign has to bar the attempt, also if an ended run of another entry has the same number.
+func TestWithdrawalBarsALateAssignAfterAnotherEntrysRun(t *testing.T) {
+	r := newReady(t)
+	startRun(t, r, begin, "j1")
+	r.ListReceived(begin+11*time.Millisecond, RunList{RequestedAt: begin + 10*time.Millisecond, ClockMS: 510, StartMS: incarnation.StartMS,
+		Ended: []EndedRun{{Number: 1, Attempt: attemptOf("j1", 1), Kind: EndStopped}}})
+	r.Connected(begin+20*time.Millisecond, entryB)
+	r.TakeEffects()
+	r.Withdraw(begin+30*time.Millisecond, entryB, wire.Withdraw{Attempt: attemptOf("j1", 1)})
+	if reports := finalReports(r); len(reports) != 1 {
+		t.Fatalf("reports %v, want one of an end", reports)
+	}
+	assign(r, begin+31*time.Millisecond, entryB, "j1", nil)
+	if n := len(effects[StartRun](r)); n != 0 {
+		t.Error("the attempt starts after it was reported as ended")
+	}
+}
