Extend the random model of leased upstreams by switchable hazards

The random simulation passed although users had seen two runs of a task at a time. It left out entries that are cut off from agents and callers, lost and late closes of callers' connections, slow processes without a pause, upstreams that are unreachable while their runs go on, late answers and list requests, hosts without power, old announcements, clock steps and long runs. Each is a hazard now that DAMASKLB_HAZARDS switches on; all are off by default, and the draws of the basic model are as before.

--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -38,12 +38,12 @@
 func (a *agent) restart() {
 	a.incarnation++
 	a.startedAt = a.w.now
-	a.paused, a.pendingInputs, a.backlog = false, nil, nil
+	a.paused, a.pendingInputs, a.backlog, a.slow = false, nil, nil, nil
 	settings := runner.DefaultSettings(resendAfter, maxLease)
 	settings.DataCentre, settings.EvacuateWithin = a.w.dataCentre(a.index), a.w.evacuations.agentBound()
 	settings.Preemption = a.w.preempt.settings
 	a.core = runner.New(settings)
-	a.core.SetToken(uint64(a.w.now / time.Millisecond))
+	a.core.SetToken(uint64((a.w.now - a.w.tokenSkew()) / time.Millisecond))
 	a.links = map[runner.EntryID]*conn{}
 	for _, closeConn := range a.openingStarts {
 		closeConn()
@@ -106,7 +106,7 @@
 func (a *agent) perform(effect runner.Effect) {
 	incarnation, token := a.incarnation, a.core.Token()
 	back := func(f func()) {
-		a.w.after(step, func() {
+		a.w.after(a.w.answerDelay(lateStartAnswers), func() {
 			if a.incarnation == incarnation {
 				a.receive(f)
 			}
@@ -116,8 +116,14 @@
 	case runner.Decision:
 		a.w.waits.started(a.w, m)
 	case runner.StartRun:
-		a.sendCommand(m.Attempt, func() { a.startNow(m, token, back) },
-			func() { a.upstream().start(m, token) },
+		sentAt := a.w.now
+		rebased := func() runner.StartRun {
+			out := m
+			out.LeaseEndMS = a.w.rebased(m.LeaseEndMS, sentAt)
+			return out
+		}
+		a.sendCommand(m.Attempt, func() { a.startNow(rebased(), token, back) },
+			func() { a.upstream().start(rebased(), token) },
 			func() {
 				back(func() {
 					a.do(func(r *runner.Runner) {
@@ -174,6 +180,9 @@
 func (a *agent) sendCommand(id wire.LeasedAttempt, now, late, unanswered func()) {
 	w := a.w
 	startMS, token := a.upstream().startMS, a.core.Token()
+	if a.hazardousCommand(id != wire.LeasedAttempt{}, now, late, unanswered) {
+		return
+	}
 	switch {
 	case a.upstream().mute():
 		w.after(250*time.Millisecond, unanswered)
@@ -232,13 +241,21 @@
 		return
 	}
 	a.seq++
-	a.do(func(r *runner.Runner) {
-		announcement := runner.Announcement{UpstreamID: u.id(), Service: "s", CPU: u.capacity, MemMB: 1000, Seq: a.seq, Labels: a.w.racks.labels(a.index)}
-		if r.Announce(a.now(), announcement) {
-			r.HeartbeatClock(a.now(), u.clock())
-			a.store(announcement)
-		}
-	})
+	announcement := runner.Announcement{UpstreamID: u.id(), Service: "s", CPU: u.capacity, MemMB: 1000, Seq: a.seq, Labels: a.w.racks.labels(a.index)}
+	clock := u.clock()
+	arrive := func() {
+		a.do(func(r *runner.Runner) {
+			if r.Announce(a.now(), announcement) {
+				r.HeartbeatClock(a.now(), clock)
+				a.store(announcement)
+			}
+		})
+	}
+	if a.w.on(oldAnnouncements) && a.w.chance(0.4) {
+		a.w.after(a.w.between(step, 4*time.Second), func() { a.receive(arrive) })
+		return
+	}
+	arrive()
 }
 
 // store stores an announcement for the agent's next process. The write may be lost.
@@ -320,13 +337,15 @@
 	if e.incarnation != c.entryIncarnation {
 		return
 	}
-	e.receiveFrom(c, func() {
-		aid := agentID(a)
-		aid.Incarnation = itoa(c.agentIncarnation)
-		if c.opened && e.links[aid] == c {
-			delete(e.links, aid)
-			e.do(func(b *broker.Broker) { b.Disconnected(aid) })
-		}
+	e.untilHeal(func() {
+		e.receiveFrom(c, func() {
+			aid := agentID(a)
+			aid.Incarnation = itoa(c.agentIncarnation)
+			if c.opened && e.links[aid] == c {
+				delete(e.links, aid)
+				e.do(func(b *broker.Broker) { b.Disconnected(aid) })
+			}
+		})
 	})
 }
 
@@ -389,6 +408,9 @@
 		})
 	}
 	failed := func() { finish(func(r *runner.Runner) { r.ListFailed(a.now()) }) }
+	if a.hazardousList(request, token, finish) {
+		return
+	}
 	if a.upstream().mute() || a.w.chance(a.w.commandFaultRate) {
 		a.w.after(310*time.Millisecond, failed)
 		return
@@ -406,10 +428,12 @@
 			a.w.after(310*time.Millisecond, failed)
 		case request.Wait && a.w.now < until && !a.upstream().hasEnd(request.LastSeen):
 			a.w.after(step, poll)
+		case a.w.on(clockSteps) && token < a.upstream().token:
+			a.w.after(step, func() { finish(func(r *runner.Runner) { r.Fenced() }) })
 		default:
 			answer := a.upstream().list(request, token)
 			answer.RequestedAt = requestedAt
-			a.w.after(step, func() { finish(func(r *runner.Runner) { r.ListReceived(a.now(), answer) }) })
+			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { r.ListReceived(a.now(), answer) }) })
 		}
 	}
 	a.w.after(step, poll)
--- a/internal/leasetest/connections_test.go
+++ b/internal/leasetest/connections_test.go
@@ -15,6 +15,8 @@
 	pendingInputs []pendingInput
 	// backlog holds the inputs of connections that a resumed process has not reached yet.
 	backlog map[*conn][]func()
+	// slow is the last period in which the process is slow, nil if there was none.
+	slow *slowness
 }
 
 // receive handles an input now, or when the process resumes.
@@ -22,6 +24,29 @@
 
 // receiveFrom does the same for an input of a connection.
 func (p *process) receiveFrom(c *conn, f func()) {
+	if c == nil {
+		p.receiveKeyed(nil, nil, f)
+		return
+	}
+	p.receiveKeyed(c, c, f)
+}
+
+// receiveKeyed does the same. Inputs with the same key are handled in order.
+func (p *process) receiveKeyed(key any, c *conn, f func()) {
+	if d := p.slow.delay(key); d > 0 {
+		incarnation := p.incarnation
+		p.slow.w.after(d, func() {
+			if p.incarnation == incarnation {
+				p.handle(c, f)
+			}
+		})
+		return
+	}
+	p.handle(c, f)
+}
+
+// handle handles an input unless the process is paused.
+func (p *process) handle(c *conn, f func()) {
 	if p.paused {
 		p.pendingInputs = append(p.pendingInputs, pendingInput{from: c, handle: f})
 		return
@@ -110,6 +135,9 @@
 func (c *conn) delay(last *time.Duration) time.Duration {
 	w := c.a.w
 	at := max(w.now+w.between(step, 4*step), c.delayedUntil, *last)
+	if w.now < c.e.cutUntil {
+		at = max(at, c.e.cutUntil+w.between(step, healTime))
+	}
 	*last = at
 	return at - w.now
 }
--- a/internal/leasetest/entries_test.go
+++ b/internal/leasetest/entries_test.go
@@ -20,12 +20,16 @@
 	next      broker.Waiter
 	tickedAt  time.Duration
 	storePath storePath
+	// cutUntil is when the entry is no longer cut off from agents and callers.
+	cutUntil time.Duration
+	// heldUp holds when the last input of a request arrives that a cut has held up.
+	heldUp map[broker.Waiter]time.Duration
 }
 
 func (e *entry) restart() {
 	e.incarnation++
 	e.startedAt = e.w.now
-	e.paused, e.process.pendingInputs, e.backlog = false, nil, nil
+	e.paused, e.process.pendingInputs, e.backlog, e.slow = false, nil, nil, nil
 	r := runner.DefaultSettings(resendAfter, maxLease)
 	ended := r.ConfirmationTimeout + r.StopAnswerTimeout + r.Lease*102/100 + stopGrace
 	settings := broker.DefaultSettings("dc", ended)
@@ -36,6 +40,7 @@
 	e.core = broker.New(settings, rand.NewSource(e.w.rng.Int63()))
 	e.links = map[broker.AgentID]*conn{}
 	e.waiting = map[broker.Waiter]*clientJob{}
+	e.heldUp = map[broker.Waiter]time.Duration{}
 	e.tickedAt = 0
 	incarnation := e.incarnation
 	e.w.after(storeReadTime, func() {
@@ -48,6 +53,22 @@
 	})
 }
 
+// receiveRequest handles a caller's request, or the close of its connection, when it has
+// reached the entry.
+func (e *entry) receiveRequest(w broker.Waiter, f func()) {
+	incarnation, handle := e.incarnation, func() { e.receiveKeyed(w, nil, f) }
+	if e.w.now >= e.cutUntil && e.heldUp[w] == 0 {
+		handle()
+		return
+	}
+	e.heldUp[w] = max(e.heldUp[w], e.w.now, e.cutUntil+e.w.between(step, healTime))
+	e.w.after(e.heldUp[w]-e.w.now, func() {
+		if e.incarnation == incarnation {
+			handle()
+		}
+	})
+}
+
 // storeReadTime is the time from the start of an entry until it has read the store.
 const storeReadTime = 30 * time.Millisecond
 
--- a/internal/leasetest/random_test.go
+++ b/internal/leasetest/random_test.go
@@ -95,6 +95,9 @@
 	w.faults = true
 	w.checkInstance = w.rng.Intn(2) == 0
 	w.commandFaultRate = []float64{0, 0.02, 0.3}[w.rng.Intn(3)]
+	if w.on(onlyHazards) {
+		w.commandFaultRate = 0
+	}
 	w.run(300 * time.Millisecond)
 	for range 60 {
 		for range w.rng.Intn(4) {
@@ -103,17 +106,19 @@
 				j.tasks = append(j.tasks, taskSpec{cpu: 3000 + w.rng.Intn(5000),
 					runTime: w.between(10*time.Millisecond, 900*time.Millisecond), failureRate: 0.02})
 			}
+			w.lengthen(j)
 			w.addCrash(j)
 			w.addPriority(j)
 			w.jobs[j.id] = j
 			w.submit(j, w.entries[w.rng.Intn(len(w.entries))])
-			if w.rng.Intn(10) == 0 {
+			if w.leaves() {
 				w.after(w.between(step, time.Second), func() { w.disconnectCaller(j) })
 			}
 		}
-		if w.rng.Intn(3) == 0 {
+		if w.rng.Intn(3) == 0 && !w.on(onlyHazards) {
 			w.injectFault()
 		}
+		w.injectHazards()
 		w.run(w.between(20*time.Millisecond, 400*time.Millisecond))
 	}
 	w.faults = false
--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -23,6 +23,9 @@
 	// down is set from a crash until the next incarnation: connections are refused, or
 	// get no answer if silent is set.
 	down, silent bool
+	// unreachable is how connections fail although the upstream runs on; empty if they
+	// do not.
+	unreachable hazard
 	// slow multiplies run times; while hung is set no run ends by itself.
 	slow       float64
 	hung       bool
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -84,6 +84,8 @@
 	scarcityOff bool
 	// racks describes the racks, nil if there are none.
 	racks *rackWorld
+	// hazards are the extensions of the random model that are in force.
+	hazards map[hazard]bool
 }
 
 // A task that crashes its upstreams must not be started maxStartsAfterCrashes times once
@@ -270,7 +272,7 @@
 	waiter := j.waiter
 	e.waiting[waiter] = j
 	w.logf("job %s sent to entry %d", j.id, e.index)
-	e.receive(func() { e.do(func(c *broker.Broker) { c.Submit(e.now(), sub, waiter) }) })
+	e.receiveRequest(waiter, func() { e.do(func(c *broker.Broker) { c.Submit(e.now(), sub, waiter) }) })
 }
 
 // disconnectCaller closes the caller's connection. The caller resubmits the job at the
@@ -283,12 +285,31 @@
 	w.logf("job %s: connection to entry %d is closed", j.id, e.index)
 	j.entry = nil
 	delete(e.waiting, waiter)
-	e.receive(func() { e.do(func(c *broker.Broker) { c.CallerLeft(e.now(), j.id, waiter) }) })
-	w.after(resendAfter, func() { w.submit(j, w.entries[w.rng.Intn(len(w.entries))]) })
+	if w.on(lostDepartures) || (w.on(lostInCut) && w.now < e.cutUntil) {
+		w.logf("job %s: the close does not reach entry %d", j.id, e.index)
+	} else {
+		e.receiveRequest(waiter, func() { e.do(func(c *broker.Broker) { c.CallerLeft(e.now(), j.id, waiter) }) })
+	}
+	w.after(resendAfter, func() {
+		if w.on(resubmissions) {
+			w.submit(j, w.otherEntry(e))
+			return
+		}
+		w.submit(j, w.entries[w.rng.Intn(len(w.entries))])
+	})
 }
 
 // answer checks an answer against the runs that have started.
 func (w *world) answer(e *entry, m broker.Answer) {
+	if w.now < e.cutUntil {
+		waiting := e.waiting
+		e.untilHeal(func() {
+			if j := waiting[m.Waiter]; j != nil && j.entry == e && j.waiter == m.Waiter {
+				w.answer(e, m)
+			}
+		})
+		return
+	}
 	j := e.waiting[m.Waiter]
 	delete(e.waiting, m.Waiter)
 	if j == nil || j.waiter != m.Waiter || j.entry != e {
