Keep hosts without power off in the random model, and end slow starts with their incarnation

A pause that ended resumed processes whose host had no power, and a start that was carried out slowly reached the next incarnation of its upstream although its connection had ended. Refused connections may be handled late as well.

--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -38,7 +38,7 @@
 func (a *agent) restart() {
 	a.incarnation++
 	a.startedAt = a.w.now
-	a.paused, a.pendingInputs, a.backlog, a.slow = false, nil, nil, nil
+	a.paused, a.off, a.pendingInputs, a.backlog, a.slow = false, false, nil, nil, nil
 	settings := runner.DefaultSettings(resendAfter, maxLease)
 	settings.DataCentre, settings.EvacuateWithin = a.w.dataCentre(a.index), a.w.evacuations.agentBound()
 	settings.Preemption = a.w.preempt.settings
@@ -423,7 +423,7 @@
 	poll = func() {
 		switch {
 		case a.upstream().down && !a.upstream().mute():
-			a.w.after(step, func() { finish(func(r *runner.Runner) { r.UpstreamEnded(a.now()) }) })
+			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { r.UpstreamEnded(a.now()) }) })
 		case a.upstream().mute():
 			a.w.after(310*time.Millisecond, failed)
 		case request.Wait && a.w.now < until && !a.upstream().hasEnd(request.LastSeen):
--- a/internal/leasetest/connections_test.go
+++ b/internal/leasetest/connections_test.go
@@ -9,9 +9,11 @@
 // process is the part that entries and agents have in common: an incarnation, pauses,
 // and inputs that wait while the process is paused.
 type process struct {
-	incarnation   int
-	startedAt     time.Duration
-	paused        bool
+	incarnation int
+	startedAt   time.Duration
+	paused      bool
+	// off is whether the host has no power: the process is paused until its next restart.
+	off           bool
 	pendingInputs []pendingInput
 	// backlog holds the inputs of connections that a resumed process has not reached yet.
 	backlog map[*conn][]func()
@@ -71,6 +73,9 @@
 const backlogTime = 80 * time.Millisecond
 
 func (p *process) resume(w *world) {
+	if p.off {
+		return
+	}
 	p.paused = false
 	waiting := p.pendingInputs
 	p.pendingInputs = nil
--- a/internal/leasetest/entries_test.go
+++ b/internal/leasetest/entries_test.go
@@ -29,7 +29,7 @@
 func (e *entry) restart() {
 	e.incarnation++
 	e.startedAt = e.w.now
-	e.paused, e.process.pendingInputs, e.backlog, e.slow = false, nil, nil, nil
+	e.paused, e.off, e.process.pendingInputs, e.backlog, e.slow = false, false, nil, nil, nil
 	r := runner.DefaultSettings(resendAfter, maxLease)
 	ended := r.ConfirmationTimeout + r.StopAnswerTimeout + r.Lease*102/100 + stopGrace
 	settings := broker.DefaultSettings("dc", ended)
--- a/internal/leasetest/hazards_test.go
+++ b/internal/leasetest/hazards_test.go
@@ -218,7 +218,7 @@
 		w.logf("entry %d has no power for %v", e.index, duration)
 		waiting := e.waiting
 		e.restart()
-		e.paused, e.links = true, nil
+		e.paused, e.off = true, true
 		incarnation := e.incarnation
 		for _, n := range slices.Sorted(maps.Keys(waiting)) {
 			if j := waiting[n]; j.entry == e && !j.answered {
@@ -244,7 +244,7 @@
 	a := w.anyAgent()
 	w.logf("agent %d has no power for %v", a.index, duration)
 	a.restart()
-	a.paused = true
+	a.paused, a.off = true, true
 	incarnation := a.incarnation
 	w.after(duration, func() {
 		if a.incarnation == incarnation {
@@ -304,7 +304,15 @@
 			})
 		}
 	case start && w.strikes(slowStarts):
-		w.after(w.between(20*step, 230*step), now)
+		// The connection ends with the incarnation.
+		startMS := a.upstream().startMS
+		w.after(w.between(20*step, 230*step), func() {
+			if a.upstream().startMS == startMS {
+				now()
+			} else {
+				unanswered()
+			}
+		})
 	default:
 		return false
 	}
