--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -25,6 +25,9 @@
 	down, silent bool
 	// holdsStopsOf is a job whose stop commands are held back without an answer.
 	holdsStopsOf string
+	// unreachable is how connections fail although the upstream runs on; empty if they
+	// do not.
+	unreachable hazard
 	// slow multiplies run times; while hung is set no run ends by itself.
 	slow       float64
 	hung       bool
