Renew no lease beyond the permission of the runs that it covers

Callers could see two runs of a task at a time: an entry gives a run up 1,204 ms after it last heard of the agent, because the agent stops it after 494 ms and, if the stop gets no answer, lets the lease end.

Cause: only list requests looked at unanswered stops, and only at the time since the stop was decided. Start commands of other tasks went on renewing the lease, which covers everything on the upstream; and an agent whose tick was late, after a pause or on a slow core, renewed it before it noticed that the entry was silent.

A lease is now renewed, by lists and starts, only until 50 ms after the stop or 544 ms after the entry's last confirmation, whichever is earlier, for each run whose stop is not accepted. The chain no longer depends on ticks. Cost: an upstream that leaves a stop unanswered for 50 ms gets no start until the stop is accepted or the lease has ended; entries offer these tasks elsewhere at once.

--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -121,7 +121,7 @@
 		r.finish(now, a, wire.RunNotStarted, "trial-limit", 0)
 		return
 	}
-	if m.OnlyIfFits && !(r.fits(now, a) && r.queue.goesFirst(a) && !(r.health.suspect && r.Running() > 0)) {
+	if m.OnlyIfFits && !(r.leaseRenewable(now) && r.fits(now, a) && r.queue.goesFirst(a) && !(r.health.suspect && r.Running() > 0)) {
 		r.finish(now, a, wire.RunNotStarted, "no-room", 0)
 		return
 	}
@@ -235,9 +235,10 @@
 	r.emit(m)
 }
 
-// startWaiting starts waiting tasks in the queue's order while they fit.
+// startWaiting starts waiting tasks in the queue's order while they fit. Each start renews the
+// lease.
 func (r *Runner) startWaiting(now time.Duration) {
-	if !r.mayStart(now) {
+	if !r.mayStart(now) || !r.leaseRenewable(now) {
 		return
 	}
 	for len(r.queue) > 0 && r.fits(now, r.queue[0]) && !(r.health.suspect && r.Running() > 0) {
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -113,7 +113,6 @@
 	r.lease.requestedAt = now
 	busy := false
 	stopping := false
-	renew := true
 	for _, a := range r.active {
 		if !a.occupies() {
 			continue
@@ -123,13 +122,10 @@
 			// A run that a list has shown after its stop ends soon, and its end
 			// completes a waiting request. Before such a list no request waits.
 			stopping = stopping || (a.stopAnswered && !a.listedAfterStop)
-			if !a.stopAnswered && now-a.stopFirstSentAt > r.settings.StopAnswerTimeout {
-				renew = false
-			}
 		}
 	}
 	request.Needed = r.upstream != nil && (busy || !r.lease.listed || len(r.foreign) > 0 || r.lease.acknowledged < r.lease.lastSeen)
-	if busy && renew {
+	if busy && r.leaseRenewable(now) {
 		request.LeaseEndMS = r.lease.leaseEndMS(now, r.settings.Lease)
 		r.lease.renewedAt = now
 	}
