Count only lists requested after a run's confirmation as lists that lack it

A run could be given up as run-vanished, and started elsewhere, while it went on: lists that were requested after the start was sent, but made before it was carried out, counted although their answers were handled after the start's answer. A slow agent handles three of them within 2 ms of the confirmation.

A list that was requested after the confirmation was received shows the run if it lives. No list decides later than before for a start that was confirmed by its answer in time.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -281,8 +281,8 @@
 		// The command was not carried out so far, and its answer is overdue. A stop
 		// of the same run keeps the upstream from starting it later.
 		r.stop(now, a, reasonUnanswered)
-	case a.phase == phaseRunning && list.RequestedAt > a.startSentAt:
-		// A start that was confirmed after the request was sent is in the next list.
+	case a.phase == phaseRunning && list.RequestedAt > a.confirmedAt:
+		// A list that was requested before the confirmation may be older than the start.
 		a.missingLists++
 		if a.missingLists >= maxMissingLists {
 			r.finish(now, a, wire.RunStopped, "run-vanished", now-a.startSentAt)
