Attribute refusals to the incarnation that a call was meant for

Runs of a live upstream could be given up and started elsewhere at once: a refused connection, or a start answered as meant for another incarnation, ended all runs of whatever incarnation was the present one when the answer was handled. A slow agent handles it after the announcement and the first list of the next incarnation, when tasks run there.

The refusal is now compared with the incarnation that the request was for.

--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -155,7 +155,7 @@
 		case err == nil:
 			core.ListReceived(now, answer)
 		case errorx.IsOfType(err, fault.ConnectionRefused):
-			core.UpstreamEnded(now)
+			core.ConnectionRefused(now, id)
 		case errorx.IsOfType(err, fault.Conflict):
 			core.Fenced()
 		default:
--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -401,7 +401,7 @@
 	}
 	a.listRequestedAt = a.w.now
 	a.openListRequests++
-	incarnation, requestedAt, token := a.incarnation, a.now(), a.core.Token()
+	incarnation, requestedAt, token, id := a.incarnation, a.now(), a.core.Token(), a.core.UpstreamID()
 	finish := func(f func(r *runner.Runner)) {
 		if a.incarnation != incarnation {
 			return
@@ -427,7 +427,7 @@
 	poll = func() {
 		switch {
 		case a.upstream().down && !a.upstream().mute():
-			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { r.UpstreamEnded(a.now()) }) })
+			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { r.ConnectionRefused(a.now(), id) }) })
 		case a.upstream().mute():
 			a.w.after(310*time.Millisecond, failed)
 		case request.Wait && a.w.now < until && !a.upstream().hasEnd(request.LastSeen):
--- a/internal/leasetest/hazards_test.go
+++ b/internal/leasetest/hazards_test.go
@@ -322,7 +322,7 @@
 // hazardousList handles a list request under the hazards in force. It returns false if none
 // strikes.
 func (a *agent) hazardousList(request runner.ListRequest, token uint64, finish func(func(*runner.Runner))) bool {
-	w, requestedAt := a.w, a.w.now
+	w, requestedAt, id := a.w, a.w.now, a.core.UpstreamID()
 	failed := func() { finish(func(r *runner.Runner) { r.ListFailed(a.now()) }) }
 	late := func() {
 		if u := a.upstream(); !u.down && (!w.checkInstance || u.startMS == request.StartMS) {
@@ -339,7 +339,7 @@
 	case u.unreachable == flapReset:
 		w.after(step, failed)
 	case u.unreachable == flapRefused:
-		w.after(step, func() { finish(func(r *runner.Runner) { r.UpstreamEnded(a.now()) }) })
+		w.after(step, func() { finish(func(r *runner.Runner) { r.ConnectionRefused(a.now(), id) }) })
 	case w.strikes(lateLists):
 		w.after(310*time.Millisecond, failed)
 		w.after(w.between(step, 3*time.Second), late)
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -41,8 +41,10 @@
 	dueAt, startDeadline time.Duration
 	queueIndex           int
 
-	// startSentAt is when the start command was sent.
+	// startSentAt is when the start command was sent, startedFor the incarnation that it was
+	// for.
 	startSentAt time.Duration
+	startedFor  UpstreamID
 	// confirmedAt is when the start was confirmed.
 	confirmedAt time.Duration
 	// stopFirstSentAt and stopLastSentAt are when the stop command was first and last
@@ -264,7 +266,7 @@
 	r.queue.remove(a)
 	a.phase = phaseStarting
 	a.state = wire.RunStarted
-	a.startSentAt = now
+	a.startSentAt, a.startedFor = now, r.upstream.UpstreamID
 	r.lease.renewedAt = now
 	r.usedCPU += a.assign.CPU
 	r.usedMem += a.assign.MemMB
@@ -303,7 +305,7 @@
 			r.lease.raiseToken()
 		case ReasonOtherIncarnation:
 			// The incarnation meant has ended; the new one will announce itself.
-			r.UpstreamEnded(now)
+			r.ConnectionRefused(now, a.startedFor)
 		}
 	case StartUnanswered:
 		// The command may be carried out at any time before its own deadline. A
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -350,10 +350,11 @@
 // UpstreamRestarted reports a new incarnation of the upstream, for the log.
 type UpstreamRestarted struct{ Old, New UpstreamID }
 
-// UpstreamEnded handles an upstream whose address refuses connections: its process
-// has ended, and all runs with it.
-func (r *Runner) UpstreamEnded(now time.Duration) {
-	if r.upstream == nil {
+// ConnectionRefused handles a refused connection to an incarnation of the upstream: its process
+// has ended, and all runs with it. The refusal may be handled after the next incarnation has
+// begun.
+func (r *Runner) ConnectionRefused(now time.Duration, id UpstreamID) {
+	if r.upstream == nil || r.upstream.UpstreamID != id {
 		return
 	}
 	r.newIncarnation(now, UpstreamID{ID: r.upstream.ID})
