Use the clock in a start's answer only for the incarnation that it came from

Leases could last up to 1,020 ms instead of 610, longer than entries wait before they start a task again: the clock in an answer of the earlier incarnation of an upstream, handled after the next one was announced, was taken for that of the present one. Incarnations count from another origin, so the end of the next lease lay far ahead and the upstream granted its longest lease.

The clock is now part of the answer, which the runner compares with the incarnation that the start was for. TestClockOfAnEarlierIncarnationIsNotUsed and TestLateAnswerOfTheEarlierIncarnationKeepsTheClock failed before; the second now passes the clock with the answer, as the I/O layer does.

--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -18,7 +18,7 @@
 
 // Upstream calls the upstream on the agent's host.
 type Upstream interface {
-	Start(ctx context.Context, s runner.StartRun, token uint64) (answer runner.StartAnswer, clock int64)
+	Start(ctx context.Context, s runner.StartRun, token uint64) runner.StartAnswer
 	Stop(ctx context.Context, s runner.StopRun, token uint64) (accepted bool, clock int64, err error)
 	ListRuns(ctx context.Context, id runner.UpstreamID, p runner.ListRequest, token uint64, wait time.Duration) (runner.RunList, error)
 }
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -241,12 +241,12 @@
 	ends   []runner.EndedRun
 }
 
-func (u *instantUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) (runner.StartAnswer, int64) {
+func (u *instantUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) runner.StartAnswer {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.number++
 	u.ends = append(u.ends, runner.EndedRun{Number: u.number, Attempt: s.Attempt, Kind: runner.EndDone})
-	return runner.StartAnswer{Outcome: runner.StartAccepted}, 1000
+	return runner.StartAnswer{Outcome: runner.StartAccepted, ClockMS: 1000}
 }
 
 func (u *instantUpstream) Stop(context.Context, runner.StopRun, uint64) (bool, int64, error) {
@@ -345,11 +345,11 @@
 	asked, cancelled atomic.Bool
 }
 
-func (u *unresponsiveUpstream) Start(ctx context.Context, _ runner.StartRun, _ uint64) (runner.StartAnswer, int64) {
+func (u *unresponsiveUpstream) Start(ctx context.Context, _ runner.StartRun, _ uint64) runner.StartAnswer {
 	u.asked.Store(true)
 	<-ctx.Done()
 	u.cancelled.Store(true)
-	return runner.StartAnswer{Outcome: runner.StartUnanswered}, 0
+	return runner.StartAnswer{Outcome: runner.StartUnanswered}
 }
 
 // Guards against a start command that is still in flight when its run is stopped:
--- a/internal/leased/run_ends_test.go
+++ b/internal/leased/run_ends_test.go
@@ -21,9 +21,9 @@
 	run atomic.Pointer[wire.LeasedAttempt]
 }
 
-func (u *replacedUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) (runner.StartAnswer, int64) {
+func (u *replacedUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) runner.StartAnswer {
 	u.run.Store(&s.Attempt)
-	return runner.StartAnswer{Outcome: runner.StartAccepted}, 1000
+	return runner.StartAnswer{Outcome: runner.StartAccepted, ClockMS: 1000}
 }
 
 func (u *replacedUpstream) Stop(context.Context, runner.StopRun, uint64) (bool, int64, error) {
@@ -98,13 +98,13 @@
 	leaseEnds chan int64
 }
 
-func (u *slowStarts) Start(_ context.Context, s runner.StartRun, _ uint64) (runner.StartAnswer, int64) {
+func (u *slowStarts) Start(_ context.Context, s runner.StartRun, _ uint64) runner.StartAnswer {
 	if s.Upstream.StartMS == 1 {
 		<-u.release
-		return runner.StartAnswer{Outcome: runner.StartAccepted}, 500_000
+		return runner.StartAnswer{Outcome: runner.StartAccepted, ClockMS: 500_000}
 	}
 	u.leaseEnds <- s.LeaseEndMS
-	return runner.StartAnswer{Outcome: runner.StartAccepted}, 1000
+	return runner.StartAnswer{Outcome: runner.StartAccepted, ClockMS: 1000}
 }
 
 func (u *slowStarts) Stop(context.Context, runner.StopRun, uint64) (bool, int64, error) {
--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -34,20 +34,17 @@
 	defer call.cancel()
 	begin := time.Now()
 	overdue := time.AfterFunc(a.options.Runner.StartAnswerTimeout+time.Millisecond, a.notifyListLoop)
-	answer, clock := a.options.Upstream.Start(call.ctx, m, token)
+	answer := a.options.Upstream.Start(call.ctx, m, token)
 	overdue.Stop()
 	startTime.UpdateDuration(begin)
 	if answer.Outcome != runner.StartAccepted {
 		a.log.Warn("start not accepted", "job", m.Attempt.Task.Job, "task", m.Attempt.Task.Index, "run", m.Attempt.Run,
-			"unanswered", answer.Outcome == runner.StartUnanswered, "reason", answer.Reason, "until_ms", m.LeaseEndMS, "clock_ms", clock)
+			"unanswered", answer.Outcome == runner.StartUnanswered, "reason", answer.Reason, "until_ms", m.LeaseEndMS, "clock_ms", answer.ClockMS)
 	}
 	a.withCore(func(now time.Duration, core *runner.Runner) {
 		if a.startCalls[m.Attempt] == call {
 			delete(a.startCalls, m.Attempt)
 		}
-		if clock > 0 {
-			core.SetClock(now, clock)
-		}
 		core.Started(now, m.Attempt, answer)
 	})
 	a.notifyListLoop()
--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -170,13 +170,8 @@
 
 func (a *agent) startNow(m runner.StartRun, token uint64, back func(func())) {
 	answer := a.upstream().start(m, token)
-	clock := a.upstream().clock()
-	back(func() {
-		a.do(func(r *runner.Runner) {
-			r.SetClock(a.now(), clock)
-			r.Started(a.now(), m.Attempt, answer)
-		})
-	})
+	answer.ClockMS = a.upstream().clock()
+	back(func() { a.do(func(r *runner.Runner) { r.Started(a.now(), m.Attempt, answer) }) })
 }
 
 // sendCommand carries a command out now, or seconds later without an answer. The id
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -292,6 +292,9 @@
 	if a == nil || !a.occupies() {
 		return
 	}
+	if answer.ClockMS > 0 && a.startedFor == r.upstreamID() {
+		r.SetClock(now, answer.ClockMS)
+	}
 	switch answer.Outcome {
 	case StartAccepted:
 		if a.phase == phaseStarting {
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -101,4 +101,6 @@
 type StartAnswer struct {
 	Outcome StartOutcome
 	Reason  string
+	// ClockMS is the upstream's clock, or 0 if the answer does not contain it.
+	ClockMS int64
 }
--- a/internal/runner/overtaking_test.go
+++ b/internal/runner/overtaking_test.go
@@ -58,9 +58,7 @@
 	r := newReady(t)
 	assign(r, begin, entryA, "j1", nil)
 	nextIncarnation(t, r, begin+5*ms)
-	// The I/O layer passes the clock of each answer on.
-	r.SetClock(begin+12*ms, 500_000)
-	r.Started(begin+12*ms, attemptOf("j1", 1), StartAnswer{Outcome: StartAccepted})
+	r.Started(begin+12*ms, attemptOf("j1", 1), StartAnswer{Outcome: StartAccepted, ClockMS: 500_000})
 	if end := r.NextListRequest(begin + 13*ms).LeaseEndMS; end > 10+700 {
 		t.Errorf("the lease is asked for until %d on a clock that shows about 20", end)
 	}
