Give one link to an address that several host rows name

A row of another writer that named the address of an entry took the place of a link to another one: with 30 such rows, agents had fewer than 18 links. The plan counted entries, and removed equal addresses afterwards. An address now counts once. Without the change TestSharedAddressTakesOneLink fails.

--- a/internal/linkplan/linkplan.go
+++ b/internal/linkplan/linkplan.go
@@ -113,11 +113,17 @@
 	}
 	var addresses []string
 	linked := 0
+	taken := map[string]bool{}
 	take := func(ranked []*entry, limit int) (rest []*entry) {
 		for i, e := range ranked {
 			if linked >= limit {
 				return ranked[i:]
 			}
+			// Rows of two hosts may name the same address, which gets one link.
+			if taken[e.address] {
+				continue
+			}
+			taken[e.address] = true
 			addresses = append(addresses, e.address)
 			if !e.unreachable(now) {
 				linked++
--- a/internal/linkplan/linkplan_test.go
+++ b/internal/linkplan/linkplan_test.go
@@ -132,3 +132,16 @@
 		t.Errorf("%d links moved for one more entry, want %d at most", moved, limit)
 	}
 }
+
+// Guards against rows of other writers that take links from entries by naming addresses that
+// are linked already.
+func TestSharedAddressTakesOneLink(t *testing.T) {
+	for _, p := range deployment(55, 8, 5) {
+		for i := range 30 {
+			p.Set(fmt.Sprint("odd", i), "address7", fmt.Sprint("dc", i%5))
+		}
+		if n := len(p.Addresses(0)); n != MaxLinks {
+			t.Errorf("%d links, want %d", n, MaxLinks)
+		}
+	}
+}
