Ignore host rows without an address that can be dialled

An agent took any text as an entry's address. A row of another writer with a port out of range, a host name that nobody has, or no port took one of its link places and was dialled for ever, and a row that could not be decoded was logged with each read of the table. Addresses are now checked, and rows that are not valid are logged once and counted by table. The entry that wrote the row before keeps its link, and a row that becomes valid is used.

--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -65,6 +65,10 @@
 	announcements *announcementStore
 	// listFailures counts the list requests that failed since the last success.
 	listFailures atomic.Uint32
+	// unreadableList is set while the upstream's lists have rows that cannot be read.
+	unreadableList atomic.Bool
+	// oddHosts and oddRuns are the rows of other writers among those of entries and runs.
+	oddHosts, oddRuns *oddRows
 }
 
 // link is an open link to an entry.
@@ -96,6 +100,8 @@
 		notify:        make(chan struct{}, 1),
 		announcements: newAnnouncementStore(o.Store, o.Process.Host, o.Log),
 		upstreamDep:   newDependency("upstream", o.Log),
+		oddHosts:      newOddRows(hostsTable, o.Log),
+		oddRuns:       newOddRows("runs", o.Log),
 	}
 	a.core.SetToken(o.Token)
 	a.mu.Lock()
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/evacuation"
@@ -48,23 +46,27 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.oddHosts.retainUpdate(u)
 	seen := map[string]bool{}
 	for _, r := range rows {
-		host, ok := strings.CutPrefix(r.Key, hostsTable+"/")
-		if !ok {
-			a.log.Warn("invalid host row", "key", r.Key, "row_version", r.Version)
+		host, err := rowName(r.Key, hostsTable)
+		if err != nil {
+			a.oddHosts.found(r.Key, r.Version, err.Error())
 			continue
 		}
 		seen[host] = true
 		if r.Deleted {
+			a.oddHosts.valid(r.Key)
 			a.removeEntry(host)
 			continue
 		}
-		var row hostRow
-		if err := json.Unmarshal(r.Value, &row); err != nil || row.Address == "" {
-			a.log.Warn("invalid host row", "key", r.Key, "row_version", r.Version)
+		row, err := decodeHostRow(r.Value)
+		if err != nil {
+			// The entry that wrote the row before may still be there.
+			a.oddHosts.found(r.Key, r.Version, err.Error())
 			continue
 		}
+		a.oddHosts.valid(r.Key)
 		a.plan.Set(host, row.Address, row.DataCentre)
 		if !all {
 			a.redial(row.Address)
--- /dev/null
+++ b/internal/leased/oddrows.go
@@ -0,0 +1,84 @@
+package leased
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// maxOddRows bounds the rows of a table that are remembered as not valid. Further ones are
+	// counted, but not logged.
+	maxOddRows = 256
+	// maxLoggedKey is the length to which keys are cut for the log.
+	maxLoggedKey = 200
+)
+
+// oddRows logs and counts the rows of a table that are not valid: each is logged once until it
+// is valid again or gone, and each of its versions is counted once.
+type oddRows struct {
+	log     *slog.Logger
+	table   string
+	counter *metrics.Counter
+
+	mu sync.Mutex // guards the field below
+	// versions holds the last version of each row that is not valid.
+	versions map[string]uint64
+}
+
+func newOddRows(table string, log *slog.Logger) *oddRows {
+	return &oddRows{log: log, table: table, versions: map[string]uint64{},
+		counter: metrics.GetOrCreateCounter(`damasklb_invalid_rows_total{table="` + table + `"}`)}
+}
+
+// found handles a row that is not valid.
+func (o *oddRows) found(key string, version uint64, reason string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	last, known := o.versions[key]
+	if known && last == version {
+		return
+	}
+	o.counter.Inc()
+	if !known && len(o.versions) >= maxOddRows {
+		return
+	}
+	o.versions[key] = version
+	if !known {
+		o.log.Warn("invalid row", "table", o.table, "key", cutKey(key), "row_version", version, "reason", reason)
+	}
+}
+
+// valid handles a row that is valid or gone.
+func (o *oddRows) valid(key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.versions, key)
+}
+
+// retain handles a read of the whole table: all rows but those with the given keys are gone.
+func (o *oddRows) retain(keys []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key := range o.versions {
+		if !slices.Contains(keys, key) {
+			delete(o.versions, key)
+		}
+	}
+}
+
+// retainUpdate does the same for an update that holds the whole table.
+func (o *oddRows) retainUpdate(u tableUpdate) {
+	if !u.all {
+		return
+	}
+	keys := make([]string, len(u.rows))
+	for i, r := range u.rows {
+		keys[i] = r.Key
+	}
+	o.retain(keys)
+}
+
+func cutKey(key string) string { return key[:min(len(key), maxLoggedKey)] }
