Read each row of a list of runs by itself

One row of a list of runs that could not be read failed the whole list: leases lapsed, all runs of the upstream were reported as cut short, and entries got no task started there for as long as the row was listed. An odd end row was never acknowledged, so neither was any later one.

Rows are now decoded one by one. A run that may be in a row that cannot be read is not taken for ended and keeps its cores. In the first list such a row delays starts until the longest lease has ended, as it may be a run of the agent's earlier process. Rows are logged once and counted.

--- a/internal/leased/oddrows_test.go
+++ b/internal/leased/oddrows_test.go
@@ -46,6 +46,12 @@
 	return a
 }
 
+func plannedHosts(a *Agent) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.plan.Hosts()
+}
+
 func (l *logBuffer) count(text string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,7 +69,7 @@
 		for _, all := range []bool{true, true, false} {
 			a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", sound, 1), odd}, all: all})
 		}
-		if hosts := a.plan.Hosts(); !slices.Equal(hosts, []string{"e1"}) {
+		if hosts := plannedHosts(a); !slices.Equal(hosts, []string{"e1"}) {
 			t.Errorf("%.60q: entries %v", value, hosts)
 		}
 		if n := log.count("key=" + odd.Key); n != 1 {
@@ -73,17 +79,17 @@
 	before := a.oddHosts.counter.Get()
 	a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", "null", 100)}})
 	a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", "null", 101)}})
-	if got := a.plan.Hosts(); !slices.Equal(got, []string{"e1"}) || log.count("key=hosts/e1") != 1 || a.oddHosts.counter.Get() != before+2 {
+	if got := plannedHosts(a); !slices.Equal(got, []string{"e1"}) || log.count("key=hosts/e1") != 1 || a.oddHosts.counter.Get() != before+2 {
 		t.Errorf("entry whose row has been replaced: entries %v, %d log lines", got, log.count("key=hosts/e1"))
 	}
 	for _, key := range []string{"hosts/", "hosts", "other/e2", "hosts/" + strings.Repeat("h", 64<<10)} {
 		a.hostsChanged(tableUpdate{rows: []platform.Change{change(key, sound, 102)}})
 	}
-	if got := a.plan.Hosts(); !slices.Equal(got, []string{"e1"}) {
+	if got := plannedHosts(a); !slices.Equal(got, []string{"e1"}) {
 		t.Errorf("entries %d after odd keys", len(got))
 	}
 	a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/odd3,", sound, 103)}})
-	if got := a.plan.Hosts(); !slices.Equal(got, []string{"e1", "odd3,"}) {
+	if got := plannedHosts(a); !slices.Equal(got, []string{"e1", "odd3,"}) {
 		t.Errorf("entries %v after a row has become valid", got)
 	}
 }
--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -124,13 +124,14 @@
 
 // pauseBetweenLists waits between two list requests. Each failure in a row doubles
 // the pause, because it may have cost a connection. If the last request succeeded,
-// the pause ends early when a request is due.
+// the pause ends early when a request is due. An end that cannot be read is never
+// acknowledged, and lists with it are answered without a wait.
 func (a *Agent) pauseBetweenLists(req runner.ListRequest) {
 	failures := a.listFailures.Load()
 	switch {
 	case failures > 0:
 		sleep(a.ctx, min(listPause<<min(failures, maxPauseDoublings), maxListPause))
-	case !req.Wait:
+	case !req.Wait || a.unreadableList.Load():
 		a.awaitListDue(listPause, nil)
 	}
 }
@@ -147,6 +148,7 @@
 	a.upstreamDep.observe(err)
 	if err == nil {
 		a.listFailures.Store(0)
+		a.reportOddRuns(answer.OddRows)
 	} else {
 		a.listFailures.Add(1)
 	}
@@ -163,3 +165,12 @@
 		}
 	})
 }
+
+// reportOddRuns logs and counts the rows of a list that cannot be read.
+func (a *Agent) reportOddRuns(rows []string) {
+	a.unreadableList.Store(len(rows) > 0)
+	a.oddRuns.retain(rows)
+	for _, row := range rows {
+		a.oddRuns.found(row, 0, "row of a list of runs cannot be read")
+	}
+}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -38,6 +38,8 @@
 	comparedRequestAt time.Duration
 	// lastListAt is when the last list arrived.
 	lastListAt time.Duration
+	// unreadableSince is when the incarnation's first list with unreadable running rows arrived.
+	unreadableSince time.Duration
 	// ignoreBefore is the agent's time before which requested lists are ignored.
 	ignoreBefore time.Duration
 }
@@ -165,6 +167,17 @@
 	StartMS     int64
 	Running     []wire.LeasedAttempt
 	Ended       []EndedRun
+	// UnreadableRows is the number of running rows without a readable task, and
+	// UnreadableTasks are the tasks of those without a readable run number.
+	UnreadableRows  int
+	UnreadableTasks []wire.LeasedTask
+	// OddRows are the texts of all rows that cannot be read, for the log.
+	OddRows []string
+}
+
+// mayHide reports whether a row that cannot be read may be a run of the task.
+func (l *RunList) mayHide(task wire.LeasedTask) bool {
+	return l.UnreadableRows > 0 || slices.Contains(l.UnreadableTasks, task)
 }
 
 // ListReceived handles the upstream's list of runs.
@@ -190,6 +203,9 @@
 	for _, e := range list.Ended {
 		r.handleEnd(now, e)
 	}
+	if first && r.awaitUnreadable(now, list) {
+		return
+	}
 	if first {
 		r.reconcileFirst(now, list)
 	}
@@ -198,6 +214,27 @@
 	r.startWaiting(now)
 }
 
+// awaitUnreadable reports whether a first list has rows that may be runs of an earlier process
+// of the agent, which nobody can stop. Those end with their lease, which is not renewed
+// while this process has no runs; a row that is still listed then is no run.
+func (r *Runner) awaitUnreadable(now time.Duration, list RunList) bool {
+	if list.UnreadableRows == 0 && len(list.UnreadableTasks) == 0 {
+		return false
+	}
+	if r.lease.unreadableSince == 0 {
+		r.lease.unreadableSince = now
+	}
+	if now-r.lease.unreadableSince > r.settings.CommandTimeout+r.lapse(r.settings.MaxLease) {
+		return false
+	}
+	for _, id := range list.Running {
+		if r.attempts[id] == nil {
+			r.stopForeign(now, id)
+		}
+	}
+	return true
+}
+
 // handleEnd handles an ended run in a list.
 func (r *Runner) handleEnd(now time.Duration, e EndedRun) {
 	if e.Number <= r.lease.lastSeen {
@@ -255,12 +292,12 @@
 		}
 	}
 	for id := range r.foreign {
-		if !running[id] {
+		if !running[id] && !list.mayHide(id.Task) {
 			delete(r.foreign, id)
 		}
 	}
 	for _, a := range slices.Clone(r.active) {
-		if !a.occupies() || running[a.id] {
+		if !a.occupies() || running[a.id] || list.mayHide(a.id.Task) {
 			continue
 		}
 		r.handleMissing(now, a, list)
@@ -329,7 +366,7 @@
 		switch {
 		case !a.occupies():
 			continue
-		case running[a.id]:
+		case running[a.id] || list.mayHide(a.id.Task):
 		case a.phase == phaseRunning && a.confirmedAt < list.RequestedAt:
 			r.finish(now, a, wire.RunStopped, reasonRestarted, now-a.startSentAt)
 		case a.phase == phaseStarting:
