Refuse heartbeats with values that no upstream has

A heartbeat of another writer was used if its types fitted. One with a born or seq far in the future made all later ones pass for old, a negative or huge capacity stopped all starts or exceeded what the upstream has, and one of another service hid the upstream from its callers.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	$(GO) test ./internal/cli -run '^$$' -fuzz FuzzParseSettings -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzStoreAnswer -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzRunList -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./platform -run '^$$' -fuzz FuzzHeartbeat -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzHostRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 
 # Time from the acceptance of a configuration change until it is in force on 3
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -254,7 +254,7 @@
 			newClient(s.Upstream, listConnections)),
 		Token: uint64(time.Now().UnixMilli()), Log: log,
 	})
-	return a, []endpoint{{s.AnnounceListen, platform.NewAnnouncementHandler(a, log)}}, nil
+	return a, []endpoint{{s.AnnounceListen, platform.NewAnnouncementHandler(a, log).ForService(s.Service)}}, nil
 }
 
 func metricsAddress(s platform.Settings) string {
