Read past rows of usual timeouts that are not valid

An entry reads 64 rows of usual timeouts at its start, and rows of other writers that cannot be read counted among them: with 64 of those, in the order of their keys, what the entries had learned was lost. Only valid rows count now, and times that are not positive are left out. Without the change TestOddTimeoutRowsTakeNoPlaces fails.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,8 @@
 	$(GO) test ./platform -run '^$$' -fuzz FuzzRunList -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzHeartbeat -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzHostRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzUpstreamRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzTimeoutsRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 
 # Time from the acceptance of a configuration change until it is in force on 3
 # entries and 11 agents, about two minutes.
--- a/internal/leased/timeouts.go
+++ b/internal/leased/timeouts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/broker"
+	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/platform"
 )
 
@@ -89,20 +90,33 @@
 // timeoutsRead restores what the entries had learned. A row that cannot be read is left out.
 func (e *Entry) timeoutsRead(u tableUpdate) {
 	var learned []map[string]time.Duration
-	for _, r := range u.rows[:min(len(u.rows), maxTimeoutRows)] {
-		var row timeoutsRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			e.log.Warn("row of usual timeouts cannot be read", "key", r.Key, "row_version", r.Version, "error", err.Error())
+	odd := newOddRows(timeoutsTable, e.log)
+	for _, r := range u.rows {
+		l, err := decodeTimeoutsRow(r.Value)
+		if err != nil {
+			odd.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
-		l := map[string]time.Duration{}
-		for queue, ms := range row.UsualMS {
-			l[queue] = time.Duration(min(ms, maxUsualMS)) * time.Millisecond
+		if learned = append(learned, l); len(learned) == maxTimeoutRows {
+			break
 		}
-		learned = append(learned, l)
 	}
 	e.withCore(func(_ time.Duration, core *broker.Broker) { core.Timeouts().Restore(learned) })
 }
 
+func decodeTimeoutsRow(value []byte) (map[string]time.Duration, error) {
+	var row timeoutsRow
+	if err := decodeRow(value, &row); err != nil {
+		return nil, err
+	}
+	l := map[string]time.Duration{}
+	for queue, ms := range row.UsualMS {
+		if ms > 0 && len(queue) <= maxName {
+			l[queue] = time.Duration(min(ms, maxUsualMS)) * time.Millisecond
+		}
+	}
+	return l, nil
+}
+
 // maxUsualMS bounds the values of rows, which would overflow in nanoseconds otherwise.
 const maxUsualMS = int64(time.Hour / time.Millisecond)
--- a/internal/leased/timeouts_test.go
+++ b/internal/leased/timeouts_test.go
@@ -1,9 +1,11 @@
 package leased
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,3 +40,36 @@
 		t.Error("a caller with 0.5 s left of 2 s does not pass for one that has waited for 1.5 s")
 	}
 }
+
+// Guards against rows of other writers that take the places of those of entries.
+func TestOddTimeoutRowsTakeNoPlaces(t *testing.T) {
+	e := &Entry{log: slog.New(slog.NewTextHandler(io.Discard, nil)), core: broker.New(broker.DefaultSettings("dc", time.Second), rand.NewSource(1))}
+	var u tableUpdate
+	for i := range 2 * maxTimeoutRows {
+		u.rows = append(u.rows, change(fmt.Sprintf("timeouts/a%d", i), oddValues[i%len(oddValues)], 1))
+	}
+	for i := range 2 {
+		u.rows = append(u.rows, change(fmt.Sprintf("timeouts/z%d", i), `{"usual_ms":{"q":2000,"long":9223372036854775807,"none":-5}}`, 1))
+	}
+	e.timeoutsRead(u)
+	if got := e.core.Timeouts().Learned()["q"]; got != 2*time.Second {
+		t.Errorf("usual timeout %v, want that of the valid rows", got)
+	}
+}
+
+// FuzzTimeoutsRow checks that a row of usual timeouts gets an error or has times that can be used.
+func FuzzTimeoutsRow(f *testing.F) {
+	for _, value := range append(slices.Clone(oddValues), `{"usual_ms":{"q":2000}}`, `{"usual_ms":{"q":-1,"r":9223372036854775807}}`, `{"usual_ms":7}`) {
+		if len(value) < 1<<10 {
+			f.Add([]byte(value))
+		}
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		l, err := decodeTimeoutsRow(value)
+		for queue, usual := range l {
+			if err != nil || usual <= 0 || usual > time.Hour || len(queue) > maxName {
+				t.Fatalf("usual timeout %v, %v", usual, err)
+			}
+		}
+	})
+}
