Check rows of upstreams and log odd rows once

An agent that restarted used any capacity, label and id in its row, also a negative or huge one, and entries logged each odd row of the upstreams table without its key whenever they read the table. Odd evacuation requests and configurations were logged with each read as well.

Odd rows are logged once with table and key, and each version is counted; a request that cannot be read still takes effect by its key. decodeUpstreamRow returns an error now, so two tests compare that.

--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -67,8 +67,8 @@
 	listFailures atomic.Uint32
 	// unreadableList is set while the upstream's lists have rows that cannot be read.
 	unreadableList atomic.Bool
-	// oddHosts and oddRuns are the rows of other writers among those of entries and runs.
-	oddHosts, oddRuns *oddRows
+	// The rows of other writers among those of entries, of operators and of runs.
+	oddHosts, oddOperator, oddRuns *oddRows
 }
 
 // link is an open link to an entry.
@@ -101,6 +101,7 @@
 		announcements: newAnnouncementStore(o.Store, o.Process.Host, o.Log),
 		upstreamDep:   newDependency("upstream", o.Log),
 		oddHosts:      newOddRows(hostsTable, o.Log),
+		oddOperator:   newOddRows(operatorRows, o.Log),
 		oddRuns:       newOddRows("runs", o.Log),
 	}
 	a.core.SetToken(o.Token)
--- a/internal/leased/announcements.go
+++ b/internal/leased/announcements.go
@@ -162,9 +162,11 @@
 	if !ok {
 		return
 	}
-	if r, ok := decodeUpstreamRow(stored, s.log); ok {
+	if r, err := decodeUpstreamRow(stored); err == nil {
 		s.adopt(r)
 		restore(r.announcement(), r.recentCrashes(time.Now()))
+	} else if version != 0 {
+		newOddRows(upstreamsTable, s.log).found(s.key, version, fault.Text(err))
 	}
 	for {
 		select {
@@ -227,16 +229,27 @@
 	return versions[0], nil
 }
 
-func decodeUpstreamRow(value []byte, log *slog.Logger) (upstreamRow, bool) {
+// decodeUpstreamRow decodes the row of an upstream. It has an announcement, crashes or both.
+func decodeUpstreamRow(value []byte) (upstreamRow, error) {
 	var r upstreamRow
-	if len(value) == 0 {
-		return r, false
+	if err := decodeRow(value, &r); err != nil {
+		return upstreamRow{}, err
 	}
-	if err := json.Unmarshal(value, &r); err != nil {
-		log.Warn("cannot decode stored announcement", "error", err.Error())
-		return upstreamRow{}, false
+	if r.StartMS != 0 || len(r.Crashes) == 0 {
+		if err := r.announcement().Validate(); err != nil {
+			return upstreamRow{}, err
+		}
+	}
+	r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxStoredCrashes):]
+	for i, c := range r.Crashes {
+		r.Crashes[i].Runs = c.Runs[:min(len(c.Runs), maxStoredRuns)]
+		for _, run := range c.Runs {
+			if len(run.Queue) > maxName || len(run.Attempt.Task.Job) > maxName {
+				return upstreamRow{}, fault.BadResponse.New("run of a crash with names of %d and %d bytes", len(run.Queue), len(run.Attempt.Task.Job))
+			}
+		}
 	}
-	return r, true
+	return r, nil
 }
 
 func (r upstreamRow) announcement() runner.Announcement {
--- a/internal/leased/announcements_test.go
+++ b/internal/leased/announcements_test.go
@@ -29,9 +29,9 @@
 			s.adopt(earlier)
 		}
 		s.save(announcement)
-		row, ok := decodeUpstreamRow(s.latest, s.log)
+		row, err := decodeUpstreamRow(s.latest)
 		got := row.recentCrashes(now)
-		if !ok || len(got) != 2 || got[0].StartMS != 4 || got[1].StartMS != 6 || len(got[1].Runs) != 1 || row.StartMS != 7 {
+		if err != nil || len(got) != 2 || got[0].StartMS != 4 || got[1].StartMS != 6 || len(got[1].Runs) != 1 || row.StartMS != 7 {
 			t.Errorf("%s: row %+v", order, row)
 		}
 	}
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +44,8 @@
 	catalog    atomic.Pointer[catalog.Catalog]
 	draining   atomic.Bool
 	questions  questionGate
+	// The rows of other writers among those of operators and upstreams.
+	oddOperator, oddUpstreams *oddRows
 
 	mu         sync.Mutex // guards the fields below
 	core       *broker.Broker
@@ -74,6 +75,8 @@
 		core:     broker.New(o.Broker, rand.NewSource(rand.Int63())),
 		links:    map[broker.AgentID]*transport.TCPLink{},
 		requests: map[broker.Waiter]*request{},
+
+		oddOperator: newOddRows(operatorRows, o.Log), oddUpstreams: newOddRows(upstreamsTable, o.Log),
 	}
 	e.AddSection("scarcity", func(now time.Duration, core *broker.Broker) any { return core.ScarcityStates(now) })
 	e.spawn(func() { e.accept(ctx, listener) })
@@ -297,6 +300,7 @@
 }
 
 func (e *Entry) configChanged(u tableUpdate) {
+	e.oddOperator.retainUpdate(u)
 	e.evacuationsChanged(u)
 	for _, r := range u.rows {
 		if r.Key != e.options.ConfigKey || r.Deleted {
@@ -304,9 +308,10 @@
 		}
 		c, err := e.options.Decode(r.Value)
 		if err != nil {
-			e.log.Error("cannot decode configuration", "row_version", r.Version, "error", err.Error())
+			e.oddOperator.found(r.Key, r.Version, "configuration: "+fault.Text(err))
 			continue
 		}
+		e.oddOperator.valid(r.Key)
 		if old := e.catalog.Load(); old != nil && c.Version <= old.Version {
 			continue
 		}
@@ -317,12 +322,22 @@
 
 // upstreamsChanged handles the crashes in changed rows of the upstreams table.
 func (e *Entry) upstreamsChanged(u tableUpdate) {
+	e.oddUpstreams.retainUpdate(u)
 	for _, r := range u.rows {
-		row, ok := decodeUpstreamRow(r.Value, e.log)
-		if !ok || r.Deleted {
+		if r.Deleted {
+			e.oddUpstreams.valid(r.Key)
+			continue
+		}
+		host, err := rowName(r.Key, upstreamsTable)
+		var row upstreamRow
+		if err == nil {
+			row, err = decodeUpstreamRow(r.Value)
+		}
+		if err != nil {
+			e.oddUpstreams.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
-		host := strings.TrimPrefix(r.Key, upstreamsTable+"/")
+		e.oddUpstreams.valid(r.Key)
 		crashes := row.recentCrashes(time.Now())
 		if len(crashes) == 0 {
 			continue
--- a/internal/leased/evacuation.go
+++ b/internal/leased/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -41,23 +40,31 @@
 
 // update returns what a store's answer says about evacuations. asOf is the time of the
 // call on the process's clock.
-func (o EvacuationOptions) update(u tableUpdate, asOf time.Duration, log *slog.Logger) evacuation.Update {
+func (o EvacuationOptions) update(u tableUpdate, asOf time.Duration, odd *oddRows) evacuation.Update {
 	out := evacuation.Update{All: u.all, Version: u.version, AsOf: asOf}
 	for _, r := range u.rows {
 		dc, ok := strings.CutPrefix(r.Key, o.Prefix)
 		if !ok {
 			continue
 		}
-		if !slices.Contains(o.DataCentres, dc) {
-			unknownEvacuations.Inc()
-			log.Warn("evacuation request for an unknown data centre", "data_centre", dc, "row_version", r.Version, "deleted", r.Deleted)
-			continue
-		}
-		if !r.Deleted && !json.Valid(r.Value) {
+		switch {
+		case r.Deleted:
+			odd.valid(r.Key)
+		case !slices.Contains(o.DataCentres, dc):
+			if odd.found(r.Key, r.Version, "evacuation request for an unknown data centre") {
+				unknownEvacuations.Inc()
+			}
+		case !json.Valid(r.Value):
 			// The key alone names the data centre. Starting tasks against the operator's
 			// will is worse than evacuating a data centre for a damaged request.
-			unreadableEvacuations.Inc()
-			log.Warn("content of evacuation request is not valid; acting on its key", "data_centre", dc, "row_version", r.Version)
+			if odd.found(r.Key, r.Version, "content of evacuation request is not valid; acting on its key") {
+				unreadableEvacuations.Inc()
+			}
+		default:
+			odd.valid(r.Key)
+		}
+		if !slices.Contains(o.DataCentres, dc) {
+			continue
 		}
 		out.Changes = append(out.Changes, evacuation.Change{DataCentre: dc, Version: r.Version, Deleted: r.Deleted})
 	}
@@ -79,7 +86,7 @@
 		return
 	}
 	asOf := u.calledAt - e.clockZero
-	update := e.options.Evacuations.update(u, asOf, e.log)
+	update := e.options.Evacuations.update(u, asOf, e.oddOperator)
 	e.withCore(func(now time.Duration, core *broker.Broker) { core.Evacuations(now, update) })
 }
 
@@ -102,7 +109,7 @@
 		return
 	}
 	a.log.Info("evacuation requests read from the store", "age_ms", q.Age.Milliseconds(), "version", u.version)
-	update := a.options.Evacuations.update(u, u.calledAt-a.clockZero, a.log)
+	update := a.options.Evacuations.update(u, u.calledAt-a.clockZero, a.oddOperator)
 	a.withCore(func(now time.Duration, core *runner.Runner) { core.Evacuations(now, update) })
 }
 
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -470,7 +470,7 @@
 	u.CPU, u.Seq = 4000, 2
 	a.Announce(u, 2)
 	row, err := f.Get(context.Background(), "upstreams/a1")
-	if stored, ok := decodeUpstreamRow(row.Value, a.log); err != nil || !ok || stored.CPU != 4000 {
+	if stored, errRow := decodeUpstreamRow(row.Value); err != nil || errRow != nil || stored.CPU != 4000 {
 		t.Errorf("row %s after the acknowledgement, want the shrunk capacity", row.Value)
 	}
 }
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/evacuation"
+	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/runner"
 	"github.com/damasklb/damasklb/internal/transport"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -51,7 +52,7 @@
 	for _, r := range rows {
 		host, err := rowName(r.Key, hostsTable)
 		if err != nil {
-			a.oddHosts.found(r.Key, r.Version, err.Error())
+			a.oddHosts.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
 		seen[host] = true
@@ -63,7 +64,7 @@
 		row, err := decodeHostRow(r.Value)
 		if err != nil {
 			// The entry that wrote the row before may still be there.
-			a.oddHosts.found(r.Key, r.Version, err.Error())
+			a.oddHosts.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
 		a.oddHosts.valid(r.Key)
--- a/internal/leased/oddrows.go
+++ b/internal/leased/oddrows.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// operatorRows names the rows that operators write.
+	operatorRows = "operator"
 	// maxOddRows bounds the rows of a table that are remembered as not valid. Further ones are
 	// counted, but not logged.
 	maxOddRows = 256
@@ -33,22 +35,23 @@
 		counter: metrics.GetOrCreateCounter(`damasklb_invalid_rows_total{table="` + table + `"}`)}
 }
 
-// found handles a row that is not valid.
-func (o *oddRows) found(key string, version uint64, reason string) {
+// found handles a row that is not valid, and reports whether this version of it is new.
+func (o *oddRows) found(key string, version uint64, reason string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	last, known := o.versions[key]
 	if known && last == version {
-		return
+		return false
 	}
 	o.counter.Inc()
 	if !known && len(o.versions) >= maxOddRows {
-		return
+		return true
 	}
 	o.versions[key] = version
 	if !known {
 		o.log.Warn("invalid row", "table", o.table, "key", cutKey(key), "row_version", version, "reason", reason)
 	}
+	return true
 }
 
 // valid handles a row that is valid or gone.
--- a/internal/leased/oddrows_test.go
+++ b/internal/leased/oddrows_test.go
@@ -43,6 +43,7 @@
 		Upstream: &instantUpstream{}, Token: 1, Log: slog.New(slog.NewTextHandler(log, nil)),
 	})
 	t.Cleanup(a.Stop)
+	eventually(t, "the table is not read", func() bool { return log.contains("dependency=store-hosts") })
 	return a
 }
 
