--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 bench:
 	$(GO) run ./bench
 
-# Fuzzes the parsers of settings and configuration for FUZZTIME each. Inputs are
+# Fuzzes the parsers of settings, configuration and rows for FUZZTIME each. Inputs are
 # minimised in few steps, because the engine otherwise spends its time on that.
 FUZZTIME ?= 30s
 fuzz:
@@ -72,6 +72,9 @@
 	$(GO) test ./platform -run '^$$' -fuzz FuzzStoreAnswer -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzRunList -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzHeartbeat -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./platform -run '^$$' -fuzz FuzzConfig -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./platform -run '^$$' -fuzz FuzzSettings -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./platform -run '^$$' -fuzz FuzzJob -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzHostRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzUpstreamRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/leased -run '^$$' -fuzz FuzzTimeoutsRow -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
