--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -303,6 +303,9 @@
 	e.oddOperator.retainUpdate(u)
 	e.evacuationsChanged(u)
 	for _, r := range u.rows {
+		if _, err := rowName(r.Key, e.options.ConfigTable); err != nil {
+			e.oddOperator.found(r.Key, r.Version, fault.Text(err))
+		}
 		if r.Key != e.options.ConfigKey || r.Deleted {
 			continue
 		}
--- a/internal/leased/oddtables_test.go
+++ b/internal/leased/oddtables_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Guards against rows without a readable key that nobody hears of.
+func TestRowsWithoutKeyAreLogged(t *testing.T) {
+	var log logBuffer
+	e := &Entry{log: slog.New(slog.NewTextHandler(&log, nil)), options: EntryOptions{ConfigTable: "op", ConfigKey: "op/config"}}
+	e.oddOperator = newOddRows(operatorRows, e.log)
+	for range 3 {
+		e.configChanged(tableUpdate{rows: []platform.Change{change("op/", "", 3), change("op/wave/1", "{}", 4)}})
+	}
+	if log.count("invalid row") != 1 || log.count("key=op/ ") != 1 {
+		t.Errorf("%d log lines about invalid rows", log.count("invalid row"))
+	}
+}
+
 // FuzzUpstreamRow checks that a row of an upstream gets an error or is within its bounds.
 func FuzzUpstreamRow(f *testing.F) {
 	for _, value := range oddUpstreamValues {
