--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	$(GO) test ./internal/cli -run '^$$' -fuzz FuzzParseSettings -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzStoreAnswer -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzRunList -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./platform -run '^$$' -fuzz FuzzCommandAnswer -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzHeartbeat -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzConfig -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./platform -run '^$$' -fuzz FuzzSettings -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
