--- a/internal/leased/oddruns_test.go
+++ b/internal/leased/oddruns_test.go
@@ -18,9 +18,9 @@
 	runs  atomic.Pointer[wire.LeasedAttempt]
 }
 
-func (u *oddListUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) (runner.StartAnswer, int64) {
+func (u *oddListUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) runner.StartAnswer {
 	u.runs.Store(&s.Attempt)
-	return runner.StartAnswer{Outcome: runner.StartAccepted}, 1000
+	return runner.StartAnswer{Outcome: runner.StartAccepted, ClockMS: 1000}
 }
 
 func (u *oddListUpstream) Stop(context.Context, runner.StopRun, uint64) (bool, int64, error) {
