Give runs up at a refused connection only if no other connection is open

A run could be given up, and started elsewhere within milliseconds, while it went on: one refused connection was taken for the end of the upstream's process.

A refusal ends the runs only if no connection to the upstream is left open, as it is when a process ends. Otherwise, and if a start is answered as meant for another incarnation, nothing is started or renewed, and the runs end with their lease or with the first list of the next incarnation. Tried first: to wait for the lease after each refusal.

What stays assumed: a process that has closed its listener and all its connections has ended.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,6 +34,8 @@
 	HistoryGone = PlatformErrors.NewType("history_gone")
 	// ConnectionRefused: nothing listens at the address any more.
 	ConnectionRefused = PlatformErrors.NewType("vanished")
+	// ListenerClosed: nothing listens at the address, but connections to it are open.
+	ListenerClosed = PlatformErrors.NewType("listener_closed")
 )
 
 // Transport failures.
--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -153,8 +153,10 @@
 		switch {
 		case err == nil:
 			core.ListReceived(now, answer)
-		case errorx.IsOfType(err, fault.ConnectionRefused):
+		case errorx.IsOfType(err, fault.ListenerClosed):
 			core.ConnectionRefused(now, id)
+		case errorx.IsOfType(err, fault.ConnectionRefused):
+			core.UpstreamEnded(now, id)
 		case errorx.IsOfType(err, fault.Conflict):
 			core.Fenced()
 		default:
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -37,6 +37,10 @@
 		return
 	}
 	r.lastCrashStartMS = crashed.StartMS
+	at := now
+	if r.refusedSince > 0 {
+		at = r.refusedSince
+	}
 	for _, a := range r.active {
 		if !a.occupies() {
 			continue
@@ -44,12 +48,12 @@
 		var age time.Duration
 		if a.confirmedAt > 0 {
 			// A start without an answer may have reached nobody.
-			age = now - a.startSentAt
+			age = max(0, at-a.startSentAt)
 		}
 		runs = append(runs, crashedRun(a, age))
 	}
 	r.crashCount++
-	r.crashLog = append(r.crashLog, loggedCrash{at: now, number: r.crashCount, crash: wire.UpstreamCrash{StartMS: crashed.StartMS, Runs: runs}})
+	r.crashLog = append(r.crashLog, loggedCrash{at: at, number: r.crashCount, crash: wire.UpstreamCrash{StartMS: crashed.StartMS, Runs: runs}})
 	r.emit(UpstreamCrashed{Upstream: crashed, Runs: runs})
 }
 
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -127,7 +127,7 @@
 		}
 	}
 	request.Needed = r.upstream != nil && (busy || !r.lease.listed || len(r.foreign) > 0 || r.lease.acknowledged < r.lease.lastSeen)
-	if busy && r.leaseRenewable(now) {
+	if busy && r.refusedSince == 0 && r.leaseRenewable(now) {
 		request.LeaseEndMS = r.lease.leaseEndMS(now, r.settings.Lease)
 		r.lease.renewedAt = now
 	}
@@ -191,6 +191,7 @@
 		r.lease.startMS = list.StartMS
 	}
 	r.lapsed = nil
+	r.refusedSince = 0
 	first := !r.lease.listed
 	r.lease.lastListAt = now
 	r.health.listReceived()
@@ -346,6 +347,7 @@
 // started.
 func (r *Runner) newIncarnation(now time.Duration, next UpstreamID) {
 	r.recordCrash(now, next)
+	r.refusedSince = 0
 	r.emit(UpstreamRestarted{Old: r.upstreamID(), New: next})
 	r.foreign = map[wire.LeasedAttempt]*foreignRun{}
 	// A higher token keeps the new incarnation, whose clock has started anew, from
@@ -387,24 +389,6 @@
 // UpstreamRestarted reports a new incarnation of the upstream, for the log.
 type UpstreamRestarted struct{ Old, New UpstreamID }
 
-// ConnectionRefused handles a refused connection to an incarnation of the upstream: its process
-// has ended, and all runs with it. The refusal may be handled after the next incarnation has
-// begun.
-func (r *Runner) ConnectionRefused(now time.Duration, id UpstreamID) {
-	if r.upstream == nil || r.upstream.UpstreamID != id {
-		return
-	}
-	r.newIncarnation(now, UpstreamID{ID: r.upstream.ID})
-	for _, a := range slices.Clone(r.active) {
-		if a.occupies() {
-			r.finish(now, a, wire.RunStopped, reasonRestarted, now-a.startSentAt)
-		}
-	}
-	r.dropWaiting(now, "upstream-gone")
-	r.upstream = nil
-	r.restored = restoredState{}
-}
-
 // UpstreamID returns the upstream's current incarnation.
 func (r *Runner) UpstreamID() UpstreamID { return r.upstreamID() }
 
@@ -437,7 +421,7 @@
 		return
 	}
 	for _, a := range slices.Clone(r.active) {
-		if a.occupies() && now-r.lease.renewedAt > r.lapseOf(a) && !r.earlierRenewalMayHold(now) {
+		if a.occupies() && r.lapsedAt(now, a) {
 			r.runLapsed(a)
 			r.finish(now, a, wire.RunStopped, "lease-lapsed", now-a.startSentAt)
 		}
@@ -446,6 +430,11 @@
 	r.lease.listed = false
 }
 
+// lapsedAt reports whether the lease of an attempt has certainly expired.
+func (r *Runner) lapsedAt(now time.Duration, a *attempt) bool {
+	return now-r.lease.renewedAt > r.lapseOf(a) && !r.earlierRenewalMayHold(now)
+}
+
 // lapse returns the time after its renewal by which a lease has certainly expired.
 func (r *Runner) lapse(lease time.Duration) time.Duration {
 	return time.Duration(maxClockRatio*float64(lease)) + lapseMargin
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -169,6 +169,8 @@
 	// firstTickAt is when the process began to wait for the first evacuation requests.
 	firstTickAt time.Duration
 
+	// refusedSince is when the upstream began to refuse connections; 0 if it does not.
+	refusedSince time.Duration
 	// lapsed holds the runs whose lease has expired since the last list.
 	lapsed []wire.CrashedRun
 	// lastCrashStartMS identifies the incarnation that crashed last.
@@ -286,7 +288,7 @@
 // inOrder reports whether the upstream is in order. The free capacity is unknown before
 // the first list of runs, and while runs of an earlier agent process have not ended.
 func (r *Runner) inOrder() bool {
-	return r.upstream != nil && !r.upstream.Draining && !r.draining && r.lease.listed && len(r.foreign) == 0 && r.announcementValid()
+	return r.upstream != nil && !r.upstream.Draining && !r.draining && r.lease.listed && r.refusedSince == 0 && len(r.foreign) == 0 && r.announcementValid()
 }
 
 // Connected handles a new link from an entry.
@@ -368,6 +370,7 @@
 		}
 	}
 	r.expireRestored(now)
+	r.endRefused(now)
 	r.checkStuck(now)
 	r.expireWaiting(now)
 	r.retryStops(now)
