Use listen addresses outside the ephemeral ports in tests

TestPagesOfEntryAndAgent and TestJobsAreServedBesideRowsOfOtherWriters failed with 'address already in use' beside other tests: their fixed ports lie in the range from which the system takes those of outgoing connections, and one such connection held the port (seen with ss). The new ones lie below that range.

--- a/internal/leased/otherwriters_test.go
+++ b/internal/leased/otherwriters_test.go
@@ -160,8 +160,8 @@
 	keys := w.writeOddRows()
 
 	upstreams := [2]*instantUpstream{{}, {}}
-	e1, log1 := w.entry("e1", "1", "127.0.0.1:47741")
-	e2, log2 := w.entry("e2", "1", "127.0.0.1:47742")
+	e1, log1 := w.entry("e1", "1", "127.0.0.1:24741")
+	e2, log2 := w.entry("e2", "1", "127.0.0.1:24742")
 	a1, logA1 := w.agent("a1", "1", upstreams[0], 1)
 	a2, logA2 := w.agent("a2", "1", upstreams[1], 1)
 	w.heartbeats(a1)
@@ -194,8 +194,8 @@
 	w.table.put(t, "upstreams/a1", nested(20_000))
 	a1, logRestarted := w.agent("a1", "2", upstreams[0], 2)
 	e1.Stop()
-	e1, logNew := w.entry("e1", "2", "127.0.0.1:47741")
-	e3, _ := w.entry("e3", "1", "127.0.0.1:47743")
+	e1, logNew := w.entry("e1", "2", "127.0.0.1:24741")
+	e3, _ := w.entry("e3", "1", "127.0.0.1:24743")
 	w.heartbeats(a1)
 	w.served("restarted-e1", e1)
 	w.served("row-valid-again-e3", e3)
--- a/internal/leased/status_test.go
+++ b/internal/leased/status_test.go
@@ -35,7 +35,7 @@
 // answer over HTTP while jobs are held and run, name the field of each bad request, leave the
 // metrics where they were, and the questions change no answer to a caller.
 func TestPagesOfEntryAndAgent(t *testing.T) {
-	const address = "127.0.0.1:47741"
+	const address = "127.0.0.1:24741"
 	f := newOperatorTable()
 	f.write("op/config", "1", false)
 	q := catalog.Queue{Name: "q", Host: "h", Service: "s", Priority: 1, MaxAttempts: 1, Stretch: 2, LatencyTarget: 2 * time.Second}
