Keep the odd row of an agent from passing for a host that it left

Here, a row under agent/<host> that could not be decoded counted as the row of an agent that has left, so entries deleted it after the uncertainty window (about 200 s) although its agent may run; the next takeover then asked that agent for no task records. A row whose value names another host hid the agent of its own key: a takeover was agent-complete without the reply of that agent and would have started its tasks again.

The key alone now names the host. A value that cannot be decoded, names another host or has no incarnation makes the row unreadable: it keeps a takeover from being agent-complete and is not deleted as left. (It still expires as any row that is not renewed for over an hour.) A takeover that found such a row lists the rows again with each periodic read, so a repaired row is used. Odd rows are counted in damasklb_odd_rows_total and logged once.

--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -106,7 +106,7 @@
 		rows, err := e.opts.Table.List(ctx, owner.AgentKeyPrefix)
 		cancel()
 		if err == nil {
-			agents := decodeAgents(rows)
+			agents := e.decodeAgents(rows)
 			e.post(func(now time.Duration) { e.core.AgentsListed(now, takeover, agents) })
 			return
 		}
@@ -159,19 +159,20 @@
 	if err != nil {
 		return // the row is already deleted, or the next read of the rows tries again
 	}
-	if agents := decodeAgents([]platform.Row{row}); agents[0] == left {
+	if e.decodeAgents([]platform.Row{row})[0] == left {
 		e.deleteAgentRow(ctx, row)
 	}
 }
 
-func decodeAgents(rows []platform.Row) []owner.AgentRow {
+func (e *Entry) decodeAgents(rows []platform.Row) []owner.AgentRow {
 	agents := make([]owner.AgentRow, 0, len(rows))
 	for _, row := range rows {
-		var a owner.AgentRow
-		if json.Unmarshal(row.Value, &a) != nil {
-			// An unreadable row still represents an agent that may have task records.
-			a = owner.AgentRow{Host: row.Key[len(owner.AgentKeyPrefix):], Left: true}
+		a := owner.DecodeAgentRow(row.Key, row.Value)
+		var err error
+		if a.Unreadable {
+			err = fault.BadResponse.New("not the row of an agent of this host")
 		}
+		e.odd.Check("agent", row.Key, err)
 		agents = append(agents, a)
 	}
 	return agents
--- a/internal/owner/agentrows.go
+++ b/internal/owner/agentrows.go
@@ -44,3 +44,15 @@
 	}
 	c.leftAgents = left
 }
+
+// relistUnreadable lists the rows again for takeovers that found an unreadable one.
+func (c *Core) relistUnreadable() {
+	for _, id := range sortedKeys(c.takeovers) {
+		for _, row := range c.takeovers[id].agentRows {
+			if row.Unreadable {
+				c.emit(ListAgents{Takeover: id})
+				break
+			}
+		}
+	}
+}
--- a/internal/owner/fence.go
+++ b/internal/owner/fence.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/wire"
@@ -16,11 +18,24 @@
 	Replaced bool `json:"replaced,omitempty"`
 	// Left is set if the agent has stopped. Its records are lost.
 	Left bool `json:"left,omitempty"`
+	// Unreadable is set if the row has no valid value. Its agent may run and have task
+	// records, so it neither counts as replied nor as left.
+	Unreadable bool `json:"-"`
 }
 
 // AgentKeyPrefix is the prefix of the keys of the agents' rows.
 const AgentKeyPrefix = "agent/"
 
+// DecodeAgentRow reads the row at key. The key alone names the host.
+func DecodeAgentRow(key string, value []byte) AgentRow {
+	host := strings.TrimPrefix(key, AgentKeyPrefix)
+	var row AgentRow
+	if json.Unmarshal(value, &row) != nil || row.Host != host || row.Incarnation == "" {
+		return AgentRow{Host: host, Unreadable: true}
+	}
+	return row
+}
+
 // replyParts are the parts of one reply. They may come in any order.
 type replyParts struct {
 	serial       uint64
@@ -184,6 +199,9 @@
 func (c *Core) AgentsListed(now time.Duration, id uint64, rows []AgentRow) {
 	c.deleteLeftRows(now, rows)
 	c.readingAgentRows = c.readingAgentRows && id != 0
+	if id == 0 {
+		c.relistUnreadable()
+	}
 	t := c.takeovers[id]
 	if t == nil {
 		return
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -188,7 +188,7 @@
 	window := c.uncertaintyWindow(false)
 	for host, row := range t.agentRows {
 		a := c.agents[host]
-		if row.Left || t.agentReplies[host] == "" || t.agentReplies[host] != a.incarnation || row.Incarnation != a.incarnation {
+		if row.Left || row.Unreadable || t.agentReplies[host] == "" || t.agentReplies[host] != a.incarnation || row.Incarnation != a.incarnation {
 			return false
 		}
 		if row.Replaced && now-a.startedAt < window {
