Refuse an odd partition map instead of taking it for a new installation

A row `map` that another writer replaces by valid JSON without content, such as {} or {"version":9}, was decoded as a map without owners. The next entry that joined from it treated all partitions as ones that never had an owner: complete at once, so keys of jobs that run would have been new, and agents whose fences are low would have started their tasks again. A version of 2^64-1 wrapped to 0 with the next change, and epochs above the version would have fenced the owners off for good.

Decode now checks what every map that entries write fulfils: version, unique ids, owners that are members, epochs from 1 to the version that rise with each owner, bases within the version. Entries and agents keep the map that they have while the row is odd, and use it again when it is sound. An odd map is logged once, not twice a second, and counted.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/ledger"
 	"github.com/damasklb/damasklb/internal/membership"
+	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/transport"
@@ -73,6 +74,7 @@
 	client   *http.Client
 
 	follower      *configstore.Follower
+	odd           *oddrow.Reporter
 	mapVersion    atomic.Uint64
 	configVersion atomic.Uint64
 	linkCount     atomic.Int64
@@ -105,7 +107,7 @@
 	o.Settings.DataCentre = o.DataCentre
 	a := &Agent{
 		opts: o, start: time.Now(), core: ledger.New(o.Settings, o.Gate), events: make(chan func(ledger.Instant), eventQueueSize),
-		done: make(chan struct{}), drainStarted: make(chan struct{}), follower: configstore.NewFollower(nil),
+		done: make(chan struct{}), drainStarted: make(chan struct{}), follower: configstore.NewFollower(nil), odd: oddrow.New(o.Log),
 		links: map[string]*transport.Link{}, client: newUpstreamClient(),
 	}
 	if err := checkLoopback(o.AnnounceListen); err != nil {
@@ -282,6 +284,7 @@
 
 func (a *Agent) mapNotice(now ledger.Instant, n *wire.MapNotice) {
 	m, err := membership.Decode(n.Row)
+	a.odd.Check("map_notice", membership.MapKey, err)
 	if err != nil || m.Version != n.Version {
 		return
 	}
@@ -401,8 +404,8 @@
 		return
 	}
 	m, err := membership.Decode(row.Value)
+	a.odd.Check("map", membership.MapKey, err)
 	if err != nil {
-		a.opts.Log.Error("partition map is not valid", "error", err)
 		return
 	}
 	first := !a.registered.Swap(true)
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -39,8 +39,8 @@
 		tableErrors("read_map").Inc()
 	default:
 		m, err := membership.Decode(row.Value)
+		e.odd.Check("map", membership.MapKey, err)
 		if err != nil {
-			e.opts.Log.Error("partition map is not valid", "error", err)
 			return
 		}
 		e.post(func(now time.Duration) { e.core.MapRead(now, requestedAt, m) })
--- a/internal/membership/encode.go
+++ b/internal/membership/encode.go
@@ -41,7 +41,7 @@
 	return row.Bytes()
 }
 
-// Decode reads a map from its table row, which may also be plain JSON. The first
+// Decode reads and checks a map from its table row, which may also be plain JSON. The first
 // byte distinguishes them: the writer ends a row with an empty last block, so the
 // first block is not marked as last and its first byte is even, unlike '{'.
 func Decode(row []byte) (*Map, error) {
@@ -57,5 +57,8 @@
 	if err := json.Unmarshal(text, m); err != nil {
 		return nil, fault.BadResponse.Wrap(err, "decode partition map")
 	}
+	if err := m.check(); err != nil {
+		return nil, err
+	}
 	return m, nil
 }
--- a/internal/oddrow/oddrow.go
+++ b/internal/oddrow/oddrow.go
@@ -32,15 +32,15 @@
 func (r *Reporter) Check(kind, key string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	short := key[:min(len(key), maxKeyBytes)]
+	id, short := kind+" "+key, key[:min(len(key), maxKeyBytes)]
 	switch {
-	case err == nil && r.reported[key]:
-		delete(r.reported, key)
+	case err == nil && r.reported[id]:
+		delete(r.reported, id)
 		r.log.Info("row can be read again", "kind", kind, "key", short)
-	case err != nil && !r.reported[key]:
+	case err != nil && !r.reported[id]:
 		metrics.GetOrCreateCounter(`damasklb_odd_rows_total{kind="` + kind + `"}`).Inc()
 		if len(r.reported) < maxKeys {
-			r.reported[key] = true
+			r.reported[id] = true
 			r.log.Warn("row cannot be read", "kind", kind, "key", short, "error", err)
 		}
 	}
