Keep a refusal without an answer from ending an agent

A Witness message whose job record has no answer was stored as a refusal. The next Fence of the partition read the body of the missing answer: the agent ended with a nil dereference, lost its task records, and the restarted process met the same sequence again. The agent now refuses such a record, as it does one below the fence.

--- a/internal/ledger/refusal.go
+++ b/internal/ledger/refusal.go
@@ -15,10 +15,11 @@
 
 // storeRefusals stores refusals for the owner that gives them, so that a successor
 // that can ask only the agents learns of them. It stores none below the fence,
-// because the successor has already received the agent's reply to its fence.
+// because the successor has already received the agent's reply to its fence, and none
+// without an answer, which it could not repeat.
 func (l *Ledger) storeRefusals(now Instant, entry string, m *wire.Witness) {
 	for _, r := range m.JobRecords {
-		if r.Epoch < l.fences[r.Job.Partition()] {
+		if r.Epoch < l.fences[r.Job.Partition()] || r.Answer == nil {
 			l.send(entry, &wire.WitnessAck{ID: m.ID, Refused: true})
 			return
 		}
