Keep a result or refusal that is not JSON from ending an entry

A Result or QueryReply with a payload that is not valid JSON ended the entry when it encoded the job's answer ("agents pass on only payloads that are valid JSON"); the agent repeats its record to the successor, which would have ended as well. A refusal from another entry whose body is not JSON ended it when a copy of the request came after the time to retry. An empty payload made a complete answer with null in its place.

Such a result now fails its job as a failed task (502, not_run false), and such a refusal is answered as outcome-unknown.

--- a/internal/owner/answers.go
+++ b/internal/owner/answers.go
@@ -114,19 +114,26 @@
 func withoutNotRun(a *wire.Answer) *wire.Answer {
 	var body ProblemBody
 	if err := json.Unmarshal(a.Body, &body); err != nil {
-		// The body was made by ProblemAnswer.
-		panic(err)
+		// Another entry reported a refusal that ProblemAnswer did not make.
+		unknown := ProblemAnswer(ProblemOutcomeUnknown, "", "", false, 0, time.Duration(a.RetryAfterMS)*time.Millisecond)
+		unknown.Transient = true
+		return unknown
 	}
 	body.State, body.NotRun = StateFailed, false
 	return &wire.Answer{Status: a.Status, Body: encode(body), RetryAfterMS: a.RetryAfterMS, Transient: true}
 }
 
+// completeAnswer returns nil if a payload is not valid JSON.
 func completeAnswer(id wire.JobID, payloads [][]byte) *wire.Answer {
 	body := CompleteBody{ID: id.String(), State: StateComplete, Results: make([]Result, len(payloads))}
 	for i, payload := range payloads {
 		body.Results[i] = Result{Index: i, Payload: payload}
 	}
-	return &wire.Answer{Status: http.StatusOK, Body: encode(body)}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil
+	}
+	return &wire.Answer{Status: http.StatusOK, Body: append(text, '\n')}
 }
 
 // runningAnswer reports that a job has no final answer yet.
@@ -137,8 +144,7 @@
 func encode(v any) []byte {
 	body, err := json.Marshal(v)
 	if err != nil {
-		// Agents pass on only payloads that are valid JSON.
-		panic(err)
+		panic(err) // The bodies have no field that can fail to encode.
 	}
 	return append(body, '\n')
 }
--- a/internal/owner/tasks.go
+++ b/internal/owner/tasks.go
@@ -278,6 +278,10 @@
 		c.fail(now, j, ProblemTaskFailed, string(payload))
 		return
 	}
+	if len(payload) == 0 {
+		c.fail(now, j, ProblemTaskFailed, invalidResult)
+		return
+	}
 	t.result = payload
 	if j.done < len(j.tasks) {
 		return
@@ -287,9 +291,16 @@
 		invariant.Check(j.tasks[i].result != nil, "a complete answer has every result", "job", j.Job)
 		payloads[i] = j.tasks[i].result
 	}
-	c.finish(now, j, completeAnswer(j.Job, payloads))
+	if a := completeAnswer(j.Job, payloads); a != nil {
+		c.finish(now, j, a)
+		return
+	}
+	c.fail(now, j, ProblemTaskFailed, invalidResult)
 }
 
+// invalidResult is the detail of a job with a result that agents do not send.
+const invalidResult = "an agent reported a result that is not valid JSON"
+
 func (c *Core) queryReply(now time.Duration, host string, m *wire.QueryReply) {
 	for _, r := range m.Records {
 		switch r.State {
