Require the record of each task before a job passes for recorded in full

During a takeover a job is rebuilt without the replies of all agents only if each of its tasks has a task record. That was decided by the number of records, so a record with an index that the job does not have (from an agent with an odd message) stood for a missing one, and the task without a record started while an agent that had not replied could have started it before.

Before, TestRecordOfAnotherTaskDoesNotCompleteAJob saw the start.

--- a/internal/owner/resume.go
+++ b/internal/owner/resume.go
@@ -98,7 +98,14 @@
 }
 
 // hasAllTasks reports whether there is a record of each of n tasks.
-func (r *jobRecord) hasAllTasks(n int) bool { return len(r.taskRecords) == n }
+func (r *jobRecord) hasAllTasks(n int) bool {
+	for i := range n {
+		if _, ok := r.taskRecords[uint16(i)]; !ok {
+			return false
+		}
+	}
+	return true
+}
 
 // rebuild makes a job from the agents' task records and the submission's payloads.
 // Tasks without a record have not started, and agents no longer start them for the
