Answer a caller although the owner's answer has an odd status

An answer that another entry sends with a status that HTTP does not allow made net/http panic in the caller's handler, which cut the connection without an answer. It is now answered as outcome-unknown with not_run false.

Before, TestAnswerWithOddStatusIsAnswered ended with "invalid WriteHeader code -1".

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -267,7 +267,12 @@
 	writeAnswer(w, owner.ProblemAnswer(problem, "", fault.Text(err), false, 0, 0))
 }
 
+// writeAnswer writes an answer, which may come from another entry. net/http cuts the
+// connection on a status that it does not allow.
 func writeAnswer(w http.ResponseWriter, a *wire.Answer) {
+	if http.StatusText(a.Status) == "" || a.Status != http.StatusOK && a.Status < http.StatusBadRequest {
+		a = owner.ProblemAnswer(owner.ProblemOutcomeUnknown, "", "the owner's answer is not valid", false, 0, time.Second)
+	}
 	w.Header().Set("Content-Type", problemContentType)
 	if a.Status == http.StatusOK {
 		w.Header().Set("Content-Type", jsonContentType)
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -1,8 +1,12 @@
 package entry
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // Guards against a request that is accepted in part: invalid input must be refused
@@ -58,3 +62,15 @@
 		}
 	})
 }
+
+// Guards against a connection that is cut because another entry sent an answer with a
+// status that HTTP does not have.
+func TestAnswerWithOddStatusIsAnswered(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 101, 204, 1000} {
+		w := httptest.NewRecorder()
+		writeAnswer(w, &wire.Answer{Status: status, Body: []byte("{}"), NotRun: true})
+		if w.Code != http.StatusServiceUnavailable || strings.Contains(w.Body.String(), `"not_run":true`) {
+			t.Errorf("status %d is answered with %d: %s", status, w.Code, w.Body)
+		}
+	}
+}
