Remove a stopped entry from the map although its row is odd

A member is removed when its link is silent and its row is not renewed. The renewal count was read from the row's value, and a value that could not be decoded was not reported to the failure detector at all. A stopped entry whose row another writer had replaced stayed in the map for good, and the keys of its partitions were refused as outcome-unknown until somebody deleted the row.

The version of the row, which rises with each write, now shows whether it is renewed, whatever its value. An entry that still runs renews its row every second, so an odd value does not remove it. Odd rows are counted and logged once.

--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/membership"
+	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/platform"
 )
@@ -93,11 +94,24 @@
 		tableErrors("read_entry").Inc()
 		return
 	}
+	renewal := uint64(0)
+	if found {
+		renewal = renewalOf(e.odd, row)
+	}
+	e.post(func(now time.Duration) { e.core.EntryRowRead(now, id, renewal, found) })
+}
+
+// renewalOf returns a number that rises with each renewal of an entry's row. The version
+// of the row is such a number whatever its value, so an odd value neither keeps a stopped
+// entry in the map nor removes one that renews its row.
+func renewalOf(odd *oddrow.Reporter, row platform.Row) uint64 {
 	var value entryRow
-	if found && json.Unmarshal(row.Value, &value) != nil {
-		return
+	err := json.Unmarshal(row.Value, &value)
+	if err == nil && (value.ID == "" || membership.EntryKeyPrefix+value.ID != row.Key) {
+		err = fault.BadResponse.New("not the row of this entry")
 	}
-	e.post(func(now time.Duration) { e.core.EntryRowRead(now, id, value.Renewal, found) })
+	odd.Check("entry", row.Key, err)
+	return row.Version
 }
 
 func (e *Entry) listAgents(takeover uint64) {
