Bring a link up although the first ping is long

A message of 32 KiB and more gets a stream of its own, but the accepting end waits for the first ping on the main stream. A ping carries the evacuation requests that an entry knows, so one request with a key of 64 KiB (or many requests) kept all new links between entries from coming up: forwards, map confirmations and witnesses stopped as links were replaced. Pings now always go on the main stream.

Before, TestLinkWithALongFirstPingComesUp found no link in 5 s.

--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -200,7 +200,9 @@
 	}
 	l.recordSent(m)
 	traffic.sent.Add(1)
-	if len(frame) >= longMessageBytes {
+	// The other end waits for the first ping on this stream.
+	_, ping := m.(*wire.Ping)
+	if len(frame) >= longMessageBytes && !ping {
 		go l.sendLong(frame)
 		return nil
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,7 +37,7 @@
 	return len(h.up)
 }
 
-func open(t *testing.T, files pki.Files, h *recordingHandler) *Endpoint {
+func open(t *testing.T, files pki.Files, h Handler) *Endpoint {
 	t.Helper()
 	server, err := pki.ServerConfig(files, pki.RoleEntry)
 	if err != nil {
@@ -90,3 +91,39 @@
 		t.Errorf("links came up: %d at the successor, %d at the dialler", successor.links(), dialler.links())
 	}
 }
+
+// verboseHandler is a recordingHandler whose pings are longer than a short message.
+type verboseHandler struct{ recordingHandler }
+
+func (h *verboseHandler) Hello() wire.Hello {
+	hello := h.recordingHandler.Hello()
+	hello.Evacuations = &wire.Evacuations{Version: 1, Requests: []wire.Evacuation{{DataCentre: strings.Repeat("x", 2*longMessageBytes), Version: 1}}}
+	return hello
+}
+
+// Guards against a link that never comes up because the first ping is sent on a stream of
+// its own, where the other end does not wait for it.
+func TestLinkWithALongFirstPingComesUp(t *testing.T) {
+	ca, err := pki.NewAuthority("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := t.TempDir()
+	if err := ca.Save(keys); err != nil {
+		t.Fatal(err)
+	}
+	files, err := ca.IssueTo(keys, "e", pki.RoleEntry, []string{"127.0.0.1"}, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	acceptor, dialler := &recordingHandler{id: "e2"}, &verboseHandler{recordingHandler{id: "e1"}}
+	address := open(t, files, acceptor).Address()
+	d := open(t, files, dialler).Maintain("e2", address, func() bool { return true }, nil)
+	defer d.Stop()
+	for end := time.Now().Add(5 * time.Second); acceptor.links() == 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if acceptor.links() == 0 {
+		t.Error("no link came up in 5 s")
+	}
+}
