Ignore evacuation requests whose key can name no data centre

Each row under config/head/evacuation/ is in force for the name in its key, and entries pass all names on with every ping and Hello. A key of 64 KiB made each of these messages that long at all entries and agents, and enough of them would have exceeded the limit of a message, after which no link comes up. Requests beside it stay in force.

Without the check, TestOddEvacuationRowsDoNotHideOthers finds 4 requests instead of 2.

--- a/internal/configstore/evacuations.go
+++ b/internal/configstore/evacuations.go
@@ -25,6 +25,9 @@
 	// evacuationRows is the prefix of EvacuationsKey and of all requests.
 	evacuationRows        = HeadKey + "/evacuation"
 	evacuationAuditPrefix = "audit/evacuation/"
+	// maxDataCentreBytes bounds the name in a request's key. Entries pass all names on
+	// with each ping, and no data centre has a longer name.
+	maxDataCentreBytes = 256
 )
 
 // EvacuationKey is the key of the request to evacuate a data centre.
@@ -60,6 +63,14 @@
 type Evacuations struct {
 	Version  uint64
 	Requests []EvacuationRequest
+	// Ignored are the rows that can be the request of no data centre.
+	Ignored []IgnoredRow
+}
+
+// IgnoredRow is a row that is not used, and why.
+type IgnoredRow struct {
+	Key     string
+	Problem error
 }
 
 // ParseEvacuations reads the requests from rows, among which others may be.
@@ -74,6 +85,11 @@
 		if !ok {
 			continue
 		}
+		if dataCentre == "" || len(dataCentre) > maxDataCentreBytes {
+			err := fault.BadResponse.New("the name of a data centre has 1 to %d bytes, not %d", maxDataCentreBytes, len(dataCentre))
+			e.Ignored = append(e.Ignored, IgnoredRow{Key: row.Key, Problem: err})
+			continue
+		}
 		var r EvacuationRequest
 		if err := decodeRow(row.Key, row.Value, &r); err != nil {
 			r = EvacuationRequest{Problem: err}
