Keep an odd head row from passing for a store without versions

A head row of null, {} or version 0 was decoded as "no version yet". The next change was then accepted as version 1: it overwrote the content and the audit record of the first version, and no process put it in force, because all of them followed a later one. Entries also polled an odd head, or an odd version row, with nothing but a count of failed reads to show for it.

A head row without a version is now refused as BadResponse. Processes keep their version, evacuation requests in the same answer stay in force, and a repaired row is used with the next poll. An odd head, version row or notice is counted and logged once instead of with each notice.

Before, TestNoChangeOverAnOddHead found the first audit record replaced for null, {} and version 0. TestFollowerUsesARepairedVersion passed before; it guards what is claimed here.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damasklb/damasklb/internal/configstore"
 	"github.com/damasklb/damasklb/internal/gate"
 	"github.com/damasklb/damasklb/internal/ledger"
 	"github.com/damasklb/damasklb/internal/transport"
@@ -12,8 +13,9 @@
 // updateConfigIfNewer puts a configuration version in force if it is newer, and
 // reports it to the sender at once. The agent starts nothing before it has a version.
 func (a *Agent) updateConfigIfNewer(l *transport.Link, n *wire.ConfigNotice) {
-	if _, err := a.follower.UpdateIfNewer(n.Version, n.Content); err != nil {
-		a.opts.Log.Error("configuration from an entry is not valid", "version", n.Version, "error", err)
+	_, err := a.follower.UpdateIfNewer(n.Version, n.Content)
+	a.odd.Check("config_notice", configstore.VersionKey(n.Version), err)
+	if err != nil {
 		return
 	}
 	s, ok := a.follower.Current()
--- a/internal/configstore/follower.go
+++ b/internal/configstore/follower.go
@@ -97,7 +97,7 @@
 		if row.Key != HeadKey {
 			continue
 		}
-		if err := decodeRow(HeadKey, row.Value, &head); err != nil {
+		if head, err = decodeHead(row.Value); err != nil {
 			return evacuations, false, err
 		}
 	}
--- a/internal/configstore/oddrows_test.go
+++ b/internal/configstore/oddrows_test.go
@@ -4,6 +4,9 @@
 	"strings"
 	"testing"
 
+	"github.com/joomcode/errorx"
+
+	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/platform/standin"
 )
@@ -40,3 +43,66 @@
 		}
 	}
 }
+
+// Guards against a process that stops following the configuration, or goes back, because
+// the head row was odd for a while.
+func TestFollowerKeepsItsVersionWhileTheHeadIsOdd(t *testing.T) {
+	table := standin.NewMemory()
+	s, f := New(table), NewFollower(table)
+	applyNext(t, s, 0)
+	if _, err := f.Poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	sound, err := table.Get(t.Context(), HeadKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, value := range oddValues {
+		write(t, table, HeadKey, value)
+		evacuations, changed, err := f.PollEvacuations(t.Context())
+		if !errorx.IsOfType(err, fault.BadResponse) || changed || f.Version() != 1 || evacuations == nil {
+			t.Errorf("head %.20q: changed %v, error %v, version %d", value, changed, err, f.Version())
+		}
+	}
+	write(t, table, HeadKey, string(sound.Value))
+	applyNext(t, s, 1)
+	if _, err := f.Poll(t.Context()); err != nil || f.Version() != 2 {
+		t.Errorf("version %d after the repair, error %v", f.Version(), err)
+	}
+}
+
+// Guards against a change that overwrites the first version and its audit record because
+// an odd head row passes for a store without versions.
+func TestNoChangeOverAnOddHead(t *testing.T) {
+	for _, value := range oddValues {
+		table := standin.NewMemory()
+		s := New(table)
+		content := applyNext(t, s, 0)
+		write(t, table, HeadKey, value)
+		_, err := s.Apply(t.Context(), Proposal{ChangeID: NewChangeID(), Author: "bob", Content: content})
+		if !errorx.IsOfType(err, fault.BadResponse) {
+			t.Errorf("head %.20q: error is %v", value, err)
+		}
+		if record, err := s.Audit(t.Context(), 1); err != nil || record.Author != "ann" {
+			t.Errorf("head %.20q: audit record of %q, %v", value, record.Author, err)
+		}
+	}
+}
+
+// Guards against a process that never uses a version whose row was odd when the head was
+// first read.
+func TestFollowerUsesARepairedVersion(t *testing.T) {
+	for _, value := range oddValues {
+		table := standin.NewMemory()
+		s, f := New(table), NewFollower(table)
+		content := applyNext(t, s, 0)
+		write(t, table, VersionKey(1), value)
+		if changed, err := f.Poll(t.Context()); changed || !errorx.IsOfType(err, fault.BadConfig) {
+			t.Errorf("version row %.20q: changed %v, error %v", value, changed, err)
+		}
+		write(t, table, VersionKey(1), string(content))
+		if changed, err := f.Poll(t.Context()); !changed || err != nil {
+			t.Errorf("version row %.20q: changed %v after the repair, error %v", value, changed, err)
+		}
+	}
+}
--- a/internal/configstore/records.go
+++ b/internal/configstore/records.go
@@ -114,6 +114,19 @@
 	return raw, nil
 }
 
+// decodeHead reads the head row. The first version writes it, so a row without a version
+// is not that of a store without versions.
+func decodeHead(raw []byte) (Head, error) {
+	var head Head
+	if err := decodeRow(HeadKey, raw, &head); err != nil {
+		return Head{}, err
+	}
+	if head.Version == 0 {
+		return Head{}, fault.BadResponse.New("row %q names no version", HeadKey)
+	}
+	return head, nil
+}
+
 func decodeRow(key string, raw []byte, value any) error {
 	if err := json.Unmarshal(raw, value); err != nil {
 		return fault.BadResponse.Wrap(err, "row %q", key)
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -49,15 +49,15 @@
 
 // readHead returns the head row and its row version, which is 0 if there is none.
 func (s *Store) readHead(ctx context.Context) (Head, uint64, error) {
-	var head Head
 	row, err := s.table.Get(ctx, HeadKey)
 	if errorx.IsOfType(err, fault.NotFound) {
-		return head, 0, nil
+		return Head{}, 0, nil
 	}
 	if err != nil {
-		return head, 0, err
+		return Head{}, 0, err
 	}
-	return head, row.Version, decodeRow(HeadKey, row.Value, &head)
+	head, err := decodeHead(row.Value)
+	return head, row.Version, err
 }
 
 // Content returns the encoded configuration of a version.
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -7,7 +7,11 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/damasklb/damasklb/internal/config"
+	"github.com/damasklb/damasklb/internal/configstore"
+	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/gate"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/status"
@@ -44,13 +48,17 @@
 	if rows != nil {
 		e.evacuationsRead(requestedAt, rows)
 	}
+	if err == nil || errorx.IsOfType(err, fault.BadResponse) || errorx.IsOfType(err, fault.BadConfig) || errorx.IsOfType(err, fault.NoVersion) {
+		e.odd.Check("config", configstore.HeadKey, err)
+	}
 	return err
 }
 
 // updateConfigIfNewer puts a version from a peer in force if it is newer.
 func (e *Entry) updateConfigIfNewer(n *wire.ConfigNotice) {
-	if _, err := e.follower.UpdateIfNewer(n.Version, n.Content); err != nil {
-		e.opts.Log.Error("configuration from a peer is not valid", "version", n.Version, "error", err)
+	_, err := e.follower.UpdateIfNewer(n.Version, n.Content)
+	e.odd.Check("config_notice", configstore.VersionKey(n.Version), err)
+	if err != nil {
 		return
 	}
 	e.putConfigInForce()
