Show the audit records beside one that cannot be read

Such a record is now shown with action "unreadable" and the error as its reason. The record of another version counts as unreadable as well.

Before, TestHistoryShowsTheRecordsBesideAnOddOne got no record at all.

--- a/internal/configstore/evacuations.go
+++ b/internal/configstore/evacuations.go
@@ -394,7 +394,8 @@
 	for _, row := range rows {
 		var record EvacuationRecord
 		if err := decodeRow(row.Key, row.Value, &record); err != nil {
-			return nil, err
+			id := strings.TrimPrefix(row.Key, evacuationAuditPrefix)
+			record = EvacuationRecord{ChangeID: id, Action: ActionUnreadable, Reason: err.Error()}
 		}
 		records = append(records, record)
 	}
--- a/internal/configstore/oddrows_test.go
+++ b/internal/configstore/oddrows_test.go
@@ -106,3 +106,28 @@
 		}
 	}
 }
+
+// Guards against an audit trail that cannot be read any more because one record is odd.
+func TestHistoryShowsTheRecordsBesideAnOddOne(t *testing.T) {
+	for _, value := range oddValues {
+		table := standin.NewMemory()
+		s := New(table)
+		for base := range uint64(3) {
+			applyNext(t, s, base)
+		}
+		write(t, table, AuditKey(2), value)
+		records, err := s.History(t.Context(), 10)
+		if err != nil || len(records) != 3 || records[0].Author != "ann" || records[2].Author != "ann" {
+			t.Fatalf("record %.20q: %d records, error %v", value, len(records), err)
+		}
+		if records[1].Version != 2 || records[1].Action != ActionUnreadable || records[1].Reason == "" {
+			t.Errorf("record %.20q is shown as %+v", value, records[1])
+		}
+		write(t, table, EvacuationAuditKey("odd"), value)
+		write(t, table, EvacuationAuditKey("sound"), `{"change_id":"sound","author":"ann","action":"evacuate"}`)
+		evacuations, err := s.EvacuationHistory(t.Context(), 10)
+		if err != nil || len(evacuations) != 2 {
+			t.Errorf("record %.20q: %d records of evacuations, error %v", value, len(evacuations), err)
+		}
+	}
+}
--- a/internal/configstore/records.go
+++ b/internal/configstore/records.go
@@ -45,6 +45,9 @@
 const (
 	ActionApply    Action = "apply"
 	ActionRollback Action = "rollback"
+	// ActionUnreadable stands in a history for a record that cannot be read. Its reason
+	// is the error.
+	ActionUnreadable Action = "unreadable"
 )
 
 // AuditRecord describes one accepted change.
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -79,7 +79,13 @@
 	if err != nil {
 		return record, err
 	}
-	return record, decodeRow(row.Key, row.Value, &record)
+	if err := decodeRow(row.Key, row.Value, &record); err != nil {
+		return AuditRecord{}, err
+	}
+	if record.Version != version {
+		return AuditRecord{}, fault.BadResponse.New("row %q is the record of version %d", AuditKey(version), record.Version)
+	}
+	return record, nil
 }
 
 func noVersionError(version uint64) error {
@@ -87,7 +93,8 @@
 		WithProperty(fault.ConfigVersion, version)
 }
 
-// History returns up to count audit records, the newest first. It reads the rows
+// History returns up to count audit records, the newest first; for one that cannot be
+// read it returns a record of ActionUnreadable. It reads the rows
 // one by one, because a list request would return the records of several years.
 func (s *Store) History(ctx context.Context, count int) ([]AuditRecord, error) {
 	head, err := s.Head(ctx)
@@ -97,6 +104,9 @@
 	records := []AuditRecord{}
 	for version := head.Version; version > 0 && len(records) < count; version-- {
 		record, err := s.Audit(ctx, version)
+		if errorx.IsOfType(err, fault.BadResponse) || errorx.IsOfType(err, fault.NoVersion) {
+			record, err = AuditRecord{Version: version, Action: ActionUnreadable, Reason: err.Error()}, nil
+		}
 		if err != nil {
 			return nil, err
 		}
