--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -1,47 +1,25 @@
 package agent
 
 import (
-	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
-	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/ledger"
 )
 
 // Limits of the announce interface.
 const (
-	maxAnnounceBytes = 64 << 10
-	maxHeaderBytes   = 16 << 10
-	maxSlots         = 4096
-	maxClasses       = 256
-	readTimeout      = 5 * time.Second
-	idleTimeout      = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+	readTimeout    = 5 * time.Second
+	idleTimeout    = 60 * time.Second
 )
 
-// Announcement is the body of POST /v1/announce. An upstream sends it every second.
-type Announcement struct {
-	Service string   `json:"service"`
-	Site    string   `json:"site"`
-	Classes []string `json:"classes"`
-	// Address is the URL that tasks are posted to.
-	Address string `json:"address"`
-	// Slots is the number of tasks that the upstream runs at a time.
-	Slots int `json:"slots"`
-}
-
-// LeaveRequest is the body of POST /v1/leave. An empty service drains the agent.
-type LeaveRequest struct {
-	Service string `json:"service"`
-}
-
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
@@ -73,58 +51,6 @@
 	http.Error(w, "no entry is linked", http.StatusServiceUnavailable)
 }
 
-func (a *Agent) postAnnounce(w http.ResponseWriter, r *http.Request) {
-	var m Announcement
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&m); err != nil {
-		http.Error(w, "the announce is not valid JSON: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	if err := m.validate(); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if !a.registered.Load() {
-		http.Error(w, "the agent is not registered in the table yet", http.StatusServiceUnavailable)
-		return
-	}
-	info := ledger.Upstream{Service: m.Service, Site: m.Site, Classes: m.Classes, Address: m.Address, Slots: m.Slots}
-	a.post(func(now ledger.Instant) { a.core.Announce(now, info) })
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (m *Announcement) validate() error {
-	switch {
-	case m.Service == "":
-		return fault.BadRequest.New("service is missing")
-	case m.Site == "":
-		return fault.BadRequest.New("site is missing")
-	case len(m.Classes) == 0 || len(m.Classes) > maxClasses:
-		return fault.BadRequest.New("classes has %d names, allowed are 1 to %d", len(m.Classes), maxClasses)
-	case m.Slots < 1 || m.Slots > maxSlots:
-		return fault.BadRequest.New("slots is %d, allowed are 1 to %d", m.Slots, maxSlots)
-	}
-	u, err := url.Parse(m.Address)
-	if err != nil || u.Scheme != "http" || u.Host == "" {
-		return fault.BadRequest.New("address %q is not an http URL", m.Address)
-	}
-	return nil
-}
-
-func (a *Agent) postLeave(w http.ResponseWriter, r *http.Request) {
-	var m LeaveRequest
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&m)
-	if err != nil && err != io.EOF {
-		http.Error(w, "the request is not valid JSON: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	if m.Service == "" {
-		a.Drain()
-	} else {
-		a.post(func(ledger.Instant) { a.core.UpstreamLeaving(m.Service) })
-	}
-	w.WriteHeader(http.StatusAccepted)
-}
-
 func tableErrors(operation string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`damasklb_table_errors_total{operation="` + operation + `"}`)
 }
--- a/internal/oddrow/oddrow.go
+++ b/internal/oddrow/oddrow.go
@@ -12,7 +12,7 @@
 const (
 	// maxKeys bounds the memory of a Reporter. Further keys are counted, not logged.
 	maxKeys = 1024
-	// maxKeyBytes bounds a key in a log line.
+	// maxKeyBytes bounds a key in memory and in a log line.
 	maxKeyBytes = 256
 )
 
@@ -32,16 +32,17 @@
 func (r *Reporter) Check(kind, key string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id, short := kind+" "+key, key[:min(len(key), maxKeyBytes)]
+	key = key[:min(len(key), maxKeyBytes)]
+	id := kind + " " + key
 	switch {
 	case err == nil && r.reported[id]:
 		delete(r.reported, id)
-		r.log.Info("row can be read again", "kind", kind, "key", short)
+		r.log.Info("row can be read again", "kind", kind, "key", key)
 	case err != nil && !r.reported[id]:
 		metrics.GetOrCreateCounter(`damasklb_odd_rows_total{kind="` + kind + `"}`).Inc()
 		if len(r.reported) < maxKeys {
 			r.reported[id] = true
-			r.log.Warn("row cannot be read", "kind", kind, "key", short, "error", err)
+			r.log.Warn("row cannot be read", "kind", kind, "key", key, "error", err)
 		}
 	}
 }
