Drain an agent only on a request that says so

A POST /v1/leave of null, {"service":null} or an object without a service, such as one with a misspelt name, drained the whole agent, which cannot be undone: an upstream that meant to end only itself ended all upstreams of the host. Such bodies are now refused with 400. An empty body, {} and an empty service still drain the agent.

Before, TestOddLeaveRequestDoesNotDrainTheAgent saw the agent drain.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -36,11 +36,6 @@
 	Slots int `json:"slots"`
 }
 
-// LeaveRequest is the body of POST /v1/leave. An empty service drains the agent.
-type LeaveRequest struct {
-	Service string `json:"service"`
-}
-
 func (a *Agent) postAnnounce(w http.ResponseWriter, r *http.Request) {
 	m, err := parseAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
 	if err != nil {
@@ -105,16 +100,37 @@
 }
 
 func (a *Agent) postLeave(w http.ResponseWriter, r *http.Request) {
-	var m LeaveRequest
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&m)
-	if err != nil && err != io.EOF {
-		http.Error(w, "the request is not valid JSON: "+err.Error(), http.StatusBadRequest)
+	service, err := parseLeave(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	if err != nil {
+		http.Error(w, fault.Text(err), http.StatusBadRequest)
 		return
 	}
-	if m.Service == "" {
+	if service == "" {
 		a.Drain()
 	} else {
-		a.post(func(ledger.Instant) { a.core.UpstreamLeaving(m.Service) })
+		a.post(func(ledger.Instant) { a.core.UpstreamLeaving(service) })
 	}
 	w.WriteHeader(http.StatusAccepted)
 }
+
+// parseLeave returns the service that leaves, which is empty for the whole agent. A body
+// with other content but no service is refused, because a drain cannot be undone.
+func parseLeave(r io.Reader) (string, error) {
+	var m map[string]json.RawMessage
+	err := json.NewDecoder(r).Decode(&m)
+	if err == io.EOF {
+		return "", nil
+	}
+	var service *string
+	value, named := m["service"]
+	if err == nil && named {
+		err = json.Unmarshal(value, &service)
+	}
+	if err != nil || m == nil || service == nil && len(m) > 0 {
+		return "", fault.BadRequest.New("the request must be empty or {\"service\": NAME}")
+	}
+	if service == nil {
+		return "", nil
+	}
+	return *service, nil
+}
--- a/internal/agent/announce_test.go
+++ b/internal/agent/announce_test.go
@@ -95,6 +95,28 @@
 	}
 }
 
+// Guards against an agent that drains, which cannot be undone, because of an odd request.
+func TestOddLeaveRequestDoesNotDrainTheAgent(t *testing.T) {
+	for _, body := range []string{"null", "[]", "{", `"x"`, `{"service":null}`, `{"service":7}`, `{"servce":"s"}`, strings.Repeat(`{"a":`, 12_000)} {
+		a := newTestAgent(slog.New(slog.DiscardHandler))
+		a.drainStarted = make(chan struct{})
+		w := httptest.NewRecorder()
+		a.postLeave(w, httptest.NewRequest(http.MethodPost, "/v1/leave", strings.NewReader(body)))
+		if a.draining() || w.Code != http.StatusBadRequest {
+			t.Errorf("%.30q: status %d, draining %v", body, w.Code, a.draining())
+		}
+	}
+	for _, body := range []string{"", "{}", `{"service":""}`} {
+		a := newTestAgent(slog.New(slog.DiscardHandler))
+		a.drainStarted = make(chan struct{})
+		w := httptest.NewRecorder()
+		a.postLeave(w, httptest.NewRequest(http.MethodPost, "/v1/leave", strings.NewReader(body)))
+		if !a.draining() || w.Code != http.StatusAccepted {
+			t.Errorf("%.30q: status %d, draining %v", body, w.Code, a.draining())
+		}
+	}
+}
+
 // Guards against a body that crashes the agent, or is accepted although no call with it
 // can succeed.
 func FuzzAnnouncement(f *testing.F) {
