Keep an agent that ends from marking its successor's row as left

An agent that ended wrote left:true over the row of its host whoever's it was. If a later process had registered on the host meanwhile, or an odd row hid whose row it was, entries deleted the row after the uncertainty window, and the next takeover was agent-complete without the later process and its task records: its tasks could start again. An agent now marks only a row with its own incarnation; another one expires by itself if no process renews it. An odd row with the agent's incarnation but another host passed for the agent's own, so it hid that an earlier process may have run; now it does not. The code of the row moves to row.go.

Before, TestEndingAgentLeavesTheRowOfItsSuccessor found the successor's row replaced, and TestAgentReplacesAnOddRow found replaced:false.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -22,7 +21,6 @@
 	"github.com/damasklb/damasklb/internal/ledger"
 	"github.com/damasklb/damasklb/internal/membership"
 	"github.com/damasklb/damasklb/internal/oddrow"
-	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/transport"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -328,21 +326,6 @@
 	}
 }
 
-// renewRow renews the row when it is due. If that has failed for as long as a row is
-// valid, an entry may have deleted it, so nothing starts until it is written again.
-func (a *Agent) renewRow() {
-	since := time.Since(a.start) - a.rowConfirmed
-	if since < a.renewAfter || a.draining() {
-		return
-	}
-	if since >= membership.AgentRowTTL {
-		a.post(func(now ledger.Instant) { a.core.SetSuspended(now, true) })
-	}
-	if a.register() {
-		a.post(func(now ledger.Instant) { a.core.SetSuspended(now, false) })
-	}
-}
-
 func (a *Agent) draining() bool {
 	select {
 	case <-a.drainStarted:
@@ -352,45 +335,6 @@
 	}
 }
 
-// register writes the agent's row. It is repeated to renew the row.
-func (a *Agent) register() bool {
-	requestedAt := time.Since(a.start)
-	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
-	defer cancel()
-	key := owner.AgentKeyPrefix + a.opts.Host
-	row := owner.AgentRow{Host: a.opts.Host, Incarnation: a.opts.Incarnation}
-	condition := platform.Condition{Key: key}
-	present, err := a.opts.Table.Get(ctx, key)
-	switch {
-	case err == nil:
-		var old owner.AgentRow
-		own := json.Unmarshal(present.Value, &old) == nil && old.Incarnation == a.opts.Incarnation
-		row.Replaced = !own || old.Replaced
-		condition.Version = present.Version
-	case !errorx.IsOfType(err, fault.NotFound):
-		tableErrors("read_agent").Inc()
-		return false
-	}
-	if !a.commitRow(ctx, key, row, condition) {
-		return false
-	}
-	a.rowConfirmed = requestedAt
-	return true
-}
-
-func (a *Agent) commitRow(ctx context.Context, key string, row owner.AgentRow, c platform.Condition) bool {
-	value, err := json.Marshal(row)
-	if err != nil {
-		panic(err) // AgentRow has no field that can fail to encode.
-	}
-	t := platform.Transaction{Conditions: []platform.Condition{c}, Writes: []platform.Write{{Key: key, Value: value}}}
-	if _, err := a.opts.Table.Commit(ctx, t); err != nil {
-		tableErrors("write_agent").Inc()
-		return false
-	}
-	return true
-}
-
 func (a *Agent) readMap() {
 	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
 	defer cancel()
@@ -472,16 +416,9 @@
 	a.Kill()
 }
 
-// finish marks the row as left, so that a takeover treats the agent's records as
-// lost, and gives the last answers time to arrive.
+// finish marks the row as left and gives the last answers time to arrive.
 func (a *Agent) finish(ctx context.Context) {
-	key := owner.AgentKeyPrefix + a.opts.Host
-	tctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	if row, err := a.opts.Table.Get(tctx, key); err == nil {
-		left := owner.AgentRow{Host: a.opts.Host, Incarnation: a.opts.Incarnation, Left: true}
-		a.commitRow(tctx, key, left, platform.Condition{Key: key, Version: row.Version})
-	}
-	cancel()
+	a.markLeft(ctx)
 	time.Sleep(flushWait)
 	a.Kill()
 	a.opts.Log.Info("agent has stopped after draining", "host", a.opts.Host)
