Retain a task record until the deadline of its start

An agent retained the record of a task for the resubmission window after its end, and answered a query for a task without a record as void: never started. The entry then sends the task again while its job has no answer. The configuration allows a window (from 1 s) that is shorter than the deadline (up to 60 s), so after a link that was down for longer than the window, a task that had run, or whose result was lost, was started a second time.

The record now stays until the window is over and the deadline of the start has passed, with the margin for clock rates. Defaults (window 120 s, deadline at most 60 s) are unaffected. The queue of expiries is now kept in order of time.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -106,6 +106,8 @@
 	startedBy string
 	upstream  string
 	expires   time.Duration
+	// deadline is when the entry that sent the start has certainly ended the job.
+	deadline time.Duration
 }
 
 type voidKey struct {
@@ -264,7 +266,7 @@
 		return
 	}
 	l.running++
-	r := &record{resultTo: entry, startedBy: entry, upstream: m.Upstream}
+	r := &record{resultTo: entry, startedBy: entry, upstream: m.Upstream, deadline: now.Mono + longestDeadline(m)}
 	r.TaskRecord = wire.TaskRecord{
 		Task: m.Task, Attempt: m.Attempt, State: wire.TaskRunning,
 		Digest: m.Digest, TaskCount: m.TaskCount,
@@ -340,7 +342,7 @@
 		return
 	}
 	l.voids[key] = now.Mono
-	l.expiry = append(l.expiry, expiryItem{at: now.Mono + l.settings.ResubmissionWindow, void: true, key: key})
+	l.addExpiry(expiryItem{at: now.Mono + l.settings.ResubmissionWindow, void: true, key: key})
 }
 
 // Ended reports the outcome of a task that Run has started.
@@ -356,8 +358,8 @@
 		r.State = wire.TaskDone
 	}
 	r.Payload, r.RunUS = payload, uint64(runTime/time.Microsecond)
-	r.expires = now.Mono + l.settings.ResubmissionWindow
-	l.expiry = append(l.expiry, expiryItem{at: r.expires, task: task})
+	r.expires = max(now.Mono+l.settings.ResubmissionWindow, r.deadline)
+	l.addExpiry(expiryItem{at: r.expires, task: task})
 	l.running--
 	u := l.upstreams[r.upstream]
 	if u != nil {
@@ -472,25 +474,3 @@
 	}
 	l.expireRecords(now.Mono)
 }
-
-// expireRecords drops records, refusals and voided attempts that have expired. The
-// queue is in order of time because ResubmissionWindow is constant.
-func (l *Ledger) expireRecords(now time.Duration) {
-	n := 0
-	for n < len(l.expiry) && l.expiry[n].at <= now {
-		item := l.expiry[n]
-		switch {
-		case item.refusal != nil:
-			l.expireRefusal(now, *item.refusal)
-		case item.void:
-			delete(l.voids, item.key)
-		default:
-			delete(l.records, item.task)
-		}
-		n++
-	}
-	l.expiry = l.expiry[n:]
-	if len(l.expiry) == 0 {
-		l.expiry = nil
-	}
-}
--- a/internal/ledger/refusal.go
+++ b/internal/ledger/refusal.go
@@ -27,7 +27,7 @@
 	for _, r := range m.JobRecords {
 		id := r.Job
 		stored := storedRefusal{JobRecord: r, expires: now.Mono + l.settings.ResubmissionWindow}
-		l.expiry = append(l.expiry, expiryItem{at: stored.expires, refusal: &id})
+		l.addExpiry(expiryItem{at: stored.expires, refusal: &id})
 		l.refusals[id] = stored
 	}
 	l.send(entry, &wire.WitnessAck{ID: m.ID})
