Follow no redirect of an upstream

The agent's client followed redirects, which with 307 and 308 repeat the method and the body: an upstream that ran a task and answered with a redirect to itself or to another one got the task up to ten times, against the first invariant. A redirect now is what the interface says of any status that is not 2xx: a failed task, never started again.

Before, TestRedirectIsNotFollowed counted 2 requests for each of 301, 302, 303, 307 and 308. TestCallWithoutAnswerIsNotRepeated, which passed before, shows the same for cut connections, 5xx and answers that are not JSON.

--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -73,12 +73,17 @@
 // newUpstreamClient returns the client for calls to upstreams. Connections are
 // reused, since each call to the upstream beside the agent would otherwise start
 // with a handshake. A call on a broken connection is not retried, because it may
-// have reached the upstream.
+// have reached the upstream. A redirect is not followed, because an upstream may answer so
+// after it has run the task.
 func newUpstreamClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: maxSlots,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}}
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
