Ask linked agents without a row for their records in a takeover

A takeover fenced and awaited only the agents whose rows it had listed. When another writer had deleted the row of a running agent (it is renewed every 5 to 10 minutes only), the takeover was agent-complete without that agent, and tasks that it had started could start again at another one. An agent is linked only after it has registered, so a linked agent without a row is now fenced as well, and its reply is needed. An agent that has neither row nor link stays unknown.

Before, TestTakeoverAsksALinkedAgentWithoutARow: "fenced false, complete without its reply true".

--- a/internal/owner/fence.go
+++ b/internal/owner/fence.go
@@ -217,6 +217,12 @@
 			}
 		}
 	}
+	// A linked agent has registered, so another writer has deleted its row.
+	for host, a := range c.agents {
+		if _, listed := t.agentRows[host]; !listed && a.up {
+			t.agentRows[host] = AgentRow{Host: host, Incarnation: a.incarnation}
+		}
+	}
 	for _, host := range sortedKeys(t.agentRows) {
 		if a := c.agents[host]; a.up && t.agentReplies[host] != a.incarnation {
 			c.send(host, &wire.Fence{ID: t.id, Partitions: t.partitions})
--- a/internal/owner/oddrow_test.go
+++ b/internal/owner/oddrow_test.go
@@ -94,3 +94,29 @@
 		t.Error("the rows are not listed again for the takeover")
 	}
 }
+
+// Guards against a takeover that is complete without a running agent whose row was deleted.
+func TestTakeoverAsksALinkedAgentWithoutARow(t *testing.T) {
+	c, takeover := takeoverCore(t)
+	c.LinkUp(0, wire.Hello{Role: wire.RoleAgent, ID: "w1", Incarnation: "i1"})
+	c.LinkUp(0, wire.Hello{Role: wire.RoleAgent, ID: "w2", Incarnation: "i2"})
+	c.TakeEffects()
+	c.AgentsListed(0, takeover, []AgentRow{{Host: "w2", Incarnation: "i2"}})
+	fenced := false
+	for _, effect := range c.TakeEffects() {
+		send, ok := effect.(Send)
+		if !ok || send.To != "w1" {
+			continue
+		}
+		_, fence := send.Message.(*wire.Fence)
+		fenced = fenced || fence
+	}
+	c.Receive(0, "w2", &wire.FenceReply{ID: takeover, Serial: 1, Last: true})
+	if !fenced || c.owned[0].agentsComplete {
+		t.Errorf("fenced %v, complete without its reply %v", fenced, c.owned[0].agentsComplete)
+	}
+	c.Receive(0, "w1", &wire.FenceReply{ID: takeover, Serial: 1, Last: true})
+	if !c.owned[0].agentsComplete {
+		t.Error("the takeover is not complete although all agents have replied")
+	}
+}
