Skip messages of unknown kinds, and report unreadable ones

Any unreadable message closed its link without a trace. During an upgrade, a newer process that sends a kind of message that an older one does not know would have closed the link again after each redial, with all sound messages on it. Such a message is now skipped, as unknown fields are. A message of a known kind that cannot be decoded still closes the link: on an open link nothing would resolve the attempt that it was about. Both are counted in damasklb_odd_rows_total{kind="message"} and logged once for each peer.

--- a/internal/agent/row.go
+++ b/internal/agent/row.go
@@ -91,3 +91,6 @@
 	a.odd.Check("agent", owner.AgentKeyPrefix+a.opts.Host, err)
 	return decoded
 }
+
+// OddMessage reports a message of an entry that cannot be read.
+func (a *Agent) OddMessage(peer string, err error) { a.odd.Check("message", peer, err) }
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -22,6 +22,9 @@
 
 func isClosed(err error) bool { return errorx.IsOfType(err, fault.LinkClosed) }
 
+// OddMessage reports a message of a peer that cannot be read.
+func (e *Entry) OddMessage(peer string, err error) { e.odd.Check("message", peer, err) }
+
 func (e *Entry) tableContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(e.ctx, tableTimeout)
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -42,6 +42,8 @@
 	DialFailed = TransportErrors.NewType("dial_failed", errorx.Temporary())
 	BadMessage = TransportErrors.NewType("bad_message")
 	BadPeer    = TransportErrors.NewType("bad_peer")
+	// UnknownKind: a message is of a kind that this version does not know.
+	UnknownKind = BadMessage.NewSubtype("unknown_kind")
 )
 
 // Process failures: the process cannot start or go on.
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/quic-go/quic-go"
 
 	"github.com/damasklb/damasklb/internal/fault"
@@ -56,6 +57,24 @@
 // monotonic: they do not follow changes of the wall clock.
 var processStart = time.Now()
 
+// oddMessageHandler is a Handler that is told of messages that cannot be read.
+type oddMessageHandler interface {
+	OddMessage(peer string, err error)
+}
+
+// skip reports an unreadable message and returns whether the link stays open: a newer
+// version may send kinds of messages that this one does not need. Any other loss has to
+// close the link, so that the states of its tasks are resolved by Query.
+func (l *Link) skip(err error) bool {
+	if !errorx.IsOfType(err, fault.BadMessage) && !errorx.IsOfType(err, fault.TooLarge) {
+		return false
+	}
+	if h, ok := l.handler.(oddMessageHandler); ok {
+		h.OddMessage(l.Peer.ID, err)
+	}
+	return errorx.IsOfType(err, fault.UnknownKind)
+}
+
 func monotonic() int64 { return int64(time.Since(processStart)) }
 
 func quicConfig() *quic.Config {
@@ -329,20 +348,23 @@
 
 func (l *Link) readLong(r io.Reader) {
 	m, err := wire.Read(r)
-	if err != nil {
+	switch {
+	case err == nil:
+		l.dispatch(m)
+	case !l.skip(err):
 		l.Close()
-		return
 	}
-	l.dispatch(m)
 }
 
 func (l *Link) readLoop() {
 	for {
 		m, err := wire.Read(l.reader)
-		if err != nil {
+		switch {
+		case err == nil:
+			l.dispatch(m)
+		case !l.skip(err):
 			return
 		}
-		l.dispatch(m)
 	}
 }
 
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -101,7 +101,7 @@
 // Decode decodes the body of a frame of the given kind.
 func Decode(kind byte, body []byte) (Message, error) {
 	if kind == 0 || int(kind) > len(kinds) {
-		return nil, fault.BadMessage.New("message kind %d is unknown", kind)
+		return nil, fault.UnknownKind.New("message kind %d is unknown", kind)
 	}
 	v := reflect.New(kinds[kind-1])
 	if err := decMode.Unmarshal(body, v.Interface()); err != nil {
