Read names that are not UTF-8 from messages

The encoder writes any string, the decoder refused those that are not valid UTF-8. A caller's name from a header of raw bytes (dev mode) made an entry send a Forward that the owner could not read: the link between the two entries closed, and the Forward was sent again on each new link until its deadline.

Before, TestNameThatIsNotUTF8IsDelivered got no message in 5 s.

--- a/internal/transport/odd_test.go
+++ b/internal/transport/odd_test.go
@@ -81,3 +81,13 @@
 		t.Errorf("%d odd messages", to.odd.Load())
 	}
 }
+
+// Guards against a name that is not UTF-8, such as one in a caller's header, and that
+// closes the link with each attempt to send it.
+func TestNameThatIsNotUTF8IsDelivered(t *testing.T) {
+	from, to := linked(t)
+	if err := from.link.Load().Send(&wire.Want{Upstream: "\xff"}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "message with the name", func() bool { return to.wants.Load() == 1 })
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -48,6 +48,8 @@
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		// Encoding does not check strings, so a name that is not UTF-8 must be readable.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode())
 )
 
