Dial a member at the address that a later map has

A dialler kept the address of the first map that named its peer. If that was odd in one map, such as a port out of range, entries and agents never linked to the member, also after the map was repaired, until they were restarted.

--- a/internal/transport/diallers.go
+++ b/internal/transport/diallers.go
@@ -24,12 +24,15 @@
 	return &Diallers{dial: dial, byID: map[string]*peerDialler{}}
 }
 
-// Update replaces the set of peers. The map holds their addresses by id.
+// Update replaces the set of peers. The map holds their addresses by id. A peer whose
+// address has changed is dialled anew.
 func (d *Diallers) Update(now time.Duration, peers map[string]string) {
 	for id, address := range peers {
-		if p, ok := d.byID[id]; ok {
+		if p, ok := d.byID[id]; ok && p.address == address {
 			p.removedAt = 0
 			continue
+		} else if ok {
+			go p.Stop()
 		}
 		d.byID[id] = &peerDialler{Dialler: d.dial(id, address)}
 	}
