--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,13 @@
 	$(GO) test ./internal/wire -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/entry -run '^$$' -fuzz FuzzParseBody -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 	$(GO) test ./internal/cli -run '^$$' -fuzz FuzzParseSettings -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/config -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/configstore -run '^$$' -fuzz '^FuzzParseRows$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/membership -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/owner -run '^$$' -fuzz '^FuzzReceive$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/owner -run '^$$' -fuzz '^FuzzDecodeAgentRow$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/ledger -run '^$$' -fuzz '^FuzzReceive$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
+	$(GO) test ./internal/agent -run '^$$' -fuzz '^FuzzAnnouncement$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 20x -parallel 2
 
 # Time from the acceptance of a configuration change until it is in force on 3
 # entries and 11 agents, about two minutes.
