Keep an odd answer of the table service from passing for no rows

A list answered with null was read as an empty table: a takeover would have been agent-complete without any agent, and an agent row or map read as {} or as another key's row was used as that row. One row of a list with an odd version or value made the whole list unreadable, so takeovers and configuration polls stopped for the sound rows beside it.

A list that is null, and a row under another key than asked for, are now BadResponse, as other unreadable answers are. A row that cannot be read keeps its key without a value, and its readers treat it as they do any odd row.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/fault"
@@ -44,15 +45,52 @@
 // Get implements Table.
 func (t *HTTPTable) Get(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := t.call(ctx, http.MethodGet, RowsPath+url.PathEscape(key), nil, &row)
-	return row, err
+	if err := t.call(ctx, http.MethodGet, RowsPath+url.PathEscape(key), nil, &row); err != nil {
+		return Row{}, err
+	}
+	if row.Key != key {
+		return Row{}, fault.BadResponse.New("table service: asked for row %q, got %q", key, row.Key)
+	}
+	return row, nil
 }
 
 // List implements Table.
 func (t *HTTPTable) List(ctx context.Context, prefix string) ([]Row, error) {
-	var rows []Row
-	err := t.call(ctx, http.MethodGet, RowsPath+"?prefix="+url.QueryEscape(prefix), nil, &rows)
-	return rows, err
+	var listed []json.RawMessage
+	if err := t.call(ctx, http.MethodGet, RowsPath+"?prefix="+url.QueryEscape(prefix), nil, &listed); err != nil {
+		return nil, err
+	}
+	if listed == nil {
+		return nil, fault.BadResponse.New("table service: the list of rows under %q is null", prefix)
+	}
+	rows := make([]Row, 0, len(listed))
+	for _, text := range listed {
+		row, err := decodeListed(text, prefix)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// decodeListed reads a row of a list. One that cannot be read keeps its key, without a
+// value, because a missing row means that there is no such process.
+func decodeListed(text []byte, prefix string) (Row, error) {
+	var row Row
+	if err := json.Unmarshal(text, &row); err != nil {
+		var named struct {
+			Key string `json:"key"`
+		}
+		if err := json.Unmarshal(text, &named); err != nil {
+			return Row{}, fault.BadResponse.Wrap(err, "table service: a row under %q", prefix)
+		}
+		row = Row{Key: named.Key}
+	}
+	if !strings.HasPrefix(row.Key, prefix) || row.Key == "" {
+		return Row{}, fault.BadResponse.New("table service: asked for rows under %q, got %q", prefix, row.Key)
+	}
+	return row, nil
 }
 
 // Commit implements Table.
