--- a/internal/owner/jobs.go
+++ b/internal/owner/jobs.go
@@ -340,21 +340,6 @@
 	}
 }
 
-// removeJob removes an answered job, unless an attempt is still open: a
-// resubmission would otherwise start a task again that may be running.
-func (c *Core) removeJob(now time.Duration, j *job) {
-	if c.jobs[j.Job] != j {
-		return
-	}
-	for i := range j.tasks {
-		if j.tasks[i].state == taskSent && !c.agentLost(now, &j.tasks[i]) {
-			c.timers.add(now+c.settings.ResubmissionWindow, func(now time.Duration) { c.removeJob(now, j) })
-			return
-		}
-	}
-	delete(c.jobs, j.Job)
-}
-
 // endAtDeadline ends a job whose deadline has passed: its caller waits no longer.
 func (c *Core) endAtDeadline(now time.Duration, j *job) {
 	detail := "the deadline passed"
