Remember a run of unknown end until its limit has passed

A job whose attempt has no outcome was forgotten when its agent had been out of reach for the uncertainty window (about 200 s), or one resubmission window after it was restarted. An agent waits up to 10 minutes for a run, so a caller that used the key again after that got a second run while the first one still went on. The job is now retained until 10 minutes after the start as well, and copies get its answer (outcome-unknown or deadline) until then.

Without the limit, TestUnknownRunIsNotForgottenBeforeItsLimit sees the task start again after 4m10s (agent cut off) and 2m10s (agent restarted).

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/damasklb/damasklb/internal/ledger"
+	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -30,7 +31,7 @@
 	// runLimit bounds a call to an upstream. A task continues after its job's
 	// deadline, because stopping it would leave its work half done, but it must not
 	// occupy a slot without limit.
-	runLimit = 10 * time.Minute
+	runLimit = owner.RunLimit
 )
 
 var (
--- a/internal/owner/removal.go
+++ b/internal/owner/removal.go
@@ -7,6 +7,10 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
+// RunLimit bounds the time that an agent waits for a run. An upstream whose agent has been
+// restarted is taken to have ended its runs by then as well.
+const RunLimit = 10 * time.Minute
+
 // removeJob removes an answered job, unless an attempt may still run: a resubmission would
 // otherwise start its task again.
 func (c *Core) removeJob(now time.Duration, j *job) {
@@ -14,7 +18,7 @@
 		return
 	}
 	for i := range j.tasks {
-		if j.tasks[i].state == taskSent && !c.agentLost(now, &j.tasks[i]) {
+		if j.tasks[i].state == taskSent && (now-j.tasks[i].sent < RunLimit || !c.agentLost(now, &j.tasks[i])) {
 			c.timers.add(now+c.settings.ResubmissionWindow, func(now time.Duration) { c.removeJob(now, j) })
 			return
 		}
--- a/internal/owner/runlimit_test.go
+++ b/internal/owner/runlimit_test.go
@@ -69,3 +69,13 @@
 	}
 	return false
 }
+
+// Guards against a second run of a task while the first one may go on at an agent that is
+// out of reach, or at the upstream of one that was restarted.
+func TestUnknownRunIsNotForgottenBeforeItsLimit(t *testing.T) {
+	for name, lose := range runLosses {
+		if at := startedAgainAfter(t, lose); at < RunLimit {
+			t.Errorf("%s: the task starts again after %v", name, at)
+		}
+	}
+}
