Refuse options that make an odd partition map

Nothing checked the id, data centre and published addresses of an entry. Start now refuses such options, and an entry writes no map that it would refuse to read.

With the check switched off, TestOddOptionsAreRefused fails for all 12 options.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,6 +131,9 @@
 // Start starts an entry. It returns when its ports are open; the entry is ready
 // once it is in the partition map.
 func Start(o Options) (*Entry, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		opts: o, start: time.Now(), events: make(chan func(time.Duration), eventQueueSize), stopped: make(chan struct{}),
 		firstReady: make(chan struct{}),
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -59,7 +59,12 @@
 	defer cancel()
 	defer e.readMap()
 	defer e.post(func(time.Duration) { e.core.CommitEnded() })
-	t := platform.Transaction{Writes: []platform.Write{{Key: membership.MapKey, Value: next.Encode()}}}
+	write, err := mapWrite(next)
+	e.odd.Check("proposed_map", membership.MapKey, err)
+	if err != nil {
+		return
+	}
+	t := platform.Transaction{Writes: []platform.Write{write}}
 	condition := platform.Condition{Key: membership.MapKey}
 	if before != nil {
 		row, err := e.opts.Table.Get(ctx, membership.MapKey)
