--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/membership"
+	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/platform"
 )
@@ -21,6 +22,9 @@
 
 func isClosed(err error) bool { return errorx.IsOfType(err, fault.LinkClosed) }
 
+// OddMessage reports a message of a peer that cannot be read.
+func (e *Entry) OddMessage(peer string, err error) { e.odd.Check("message", peer, err) }
+
 func (e *Entry) tableContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(e.ctx, tableTimeout)
 }
@@ -39,8 +43,8 @@
 		tableErrors("read_map").Inc()
 	default:
 		m, err := membership.Decode(row.Value)
+		e.odd.Check("map", membership.MapKey, err)
 		if err != nil {
-			e.opts.Log.Error("partition map is not valid", "error", err)
 			return
 		}
 		e.post(func(now time.Duration) { e.core.MapRead(now, requestedAt, m) })
@@ -55,7 +59,12 @@
 	defer cancel()
 	defer e.readMap()
 	defer e.post(func(time.Duration) { e.core.CommitEnded() })
-	t := platform.Transaction{Writes: []platform.Write{{Key: membership.MapKey, Value: next.Encode()}}}
+	write, err := mapWrite(next)
+	e.odd.Check("proposed_map", membership.MapKey, err)
+	if err != nil {
+		return
+	}
+	t := platform.Transaction{Writes: []platform.Write{write}}
 	condition := platform.Condition{Key: membership.MapKey}
 	if before != nil {
 		row, err := e.opts.Table.Get(ctx, membership.MapKey)
@@ -93,11 +102,24 @@
 		tableErrors("read_entry").Inc()
 		return
 	}
+	renewal := uint64(0)
+	if found {
+		renewal = renewalOf(e.odd, row)
+	}
+	e.post(func(now time.Duration) { e.core.EntryRowRead(now, id, renewal, found) })
+}
+
+// renewalOf returns a number that rises with each renewal of an entry's row. The version
+// of the row is such a number whatever its value, so an odd value neither keeps a stopped
+// entry in the map nor removes one that renews its row.
+func renewalOf(odd *oddrow.Reporter, row platform.Row) uint64 {
 	var value entryRow
-	if found && json.Unmarshal(row.Value, &value) != nil {
-		return
+	err := json.Unmarshal(row.Value, &value)
+	if err == nil && (value.ID == "" || membership.EntryKeyPrefix+value.ID != row.Key) {
+		err = fault.BadResponse.New("not the row of this entry")
 	}
-	e.post(func(now time.Duration) { e.core.EntryRowRead(now, id, value.Renewal, found) })
+	odd.Check("entry", row.Key, err)
+	return row.Version
 }
 
 func (e *Entry) listAgents(takeover uint64) {
@@ -106,7 +128,7 @@
 		rows, err := e.opts.Table.List(ctx, owner.AgentKeyPrefix)
 		cancel()
 		if err == nil {
-			agents := decodeAgents(rows)
+			agents := e.decodeAgents(rows)
 			e.post(func(now time.Duration) { e.core.AgentsListed(now, takeover, agents) })
 			return
 		}
@@ -159,19 +181,20 @@
 	if err != nil {
 		return // the row is already deleted, or the next read of the rows tries again
 	}
-	if agents := decodeAgents([]platform.Row{row}); agents[0] == left {
+	if e.decodeAgents([]platform.Row{row})[0] == left {
 		e.deleteAgentRow(ctx, row)
 	}
 }
 
-func decodeAgents(rows []platform.Row) []owner.AgentRow {
+func (e *Entry) decodeAgents(rows []platform.Row) []owner.AgentRow {
 	agents := make([]owner.AgentRow, 0, len(rows))
 	for _, row := range rows {
-		var a owner.AgentRow
-		if json.Unmarshal(row.Value, &a) != nil {
-			// An unreadable row still represents an agent that may have task records.
-			a = owner.AgentRow{Host: row.Key[len(owner.AgentKeyPrefix):], Left: true}
+		a := owner.DecodeAgentRow(row.Key, row.Value)
+		var err error
+		if a.Unreadable {
+			err = fault.BadResponse.New("not the row of an agent of this host")
 		}
+		e.odd.Check("agent", row.Key, err)
 		agents = append(agents, a)
 	}
 	return agents
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -48,6 +48,8 @@
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		// Encoding does not check strings, so a name that is not UTF-8 must be readable.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode())
 )
 
@@ -101,7 +103,7 @@
 // Decode decodes the body of a frame of the given kind.
 func Decode(kind byte, body []byte) (Message, error) {
 	if kind == 0 || int(kind) > len(kinds) {
-		return nil, fault.BadMessage.New("message kind %d is unknown", kind)
+		return nil, fault.UnknownKind.New("message kind %d is unknown", kind)
 	}
 	v := reflect.New(kinds[kind-1])
 	if err := decMode.Unmarshal(body, v.Interface()); err != nil {
