Start no job whose caller has closed its connection before it was read

A request can wait at a paused or slow entry while its caller gives it up and submits the job elsewhere. The entry then read it, started its tasks and withdrew them some milliseconds later, when a goroutine had read the end of the connection that was right behind the request: two runs at a time.

The entry asks the kernel whether the end of the connection has arrived before it submits a job (one peek, no wait).

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -18,6 +18,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/damasklb/damasklb/internal/broker"
+	"github.com/damasklb/damasklb/internal/callerconn"
 	"github.com/damasklb/damasklb/internal/eventlog"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/leased"
@@ -280,7 +281,7 @@
 			return nil, fault.Listen.Wrap(err, "listen on %s", e.address)
 		}
 		server := &http.Server{
-			Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: callerconn.ConnContext,
 			ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		}
 		servers = append(servers, server)
