Start no task again whose callers have closed their connections

An entry that resumes after a pause waits 30 ms for the ends of its callers' connections, but a small core takes longer to handle some hundred of them. It then counted the runs as lost, which was true, and started tasks again that ran elsewhere for the callers' copies.

Still failing: an entry back from a cut whose callers' closes were lost or held up in it (TestEntryBackFromACutRestartsNoJobOfACallerThatLeft).

--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -186,12 +186,29 @@
 		b.releaseTask(t)
 		b.close(now, t.job, b.refusal(v))
 	default:
+		if !b.callersWait(now, t.job) {
+			return
+		}
 		b.releaseTask(t)
 		a.reserve(now, t)
 		b.assign(now, a, t, chosen.Wait)
 	}
 }
 
+// callersWait ends the requests of callers that have left and reports whether any caller waits
+// for the job. Their departure may not have been handled yet, while the job runs elsewhere.
+func (b *Broker) callersWait(now time.Duration, j *job) bool {
+	if b.settings.CallerWaits == nil {
+		return true
+	}
+	for _, w := range slices.Clone(j.waiters) {
+		if !b.settings.CallerWaits(w) {
+			b.CallerLeft(now, j.sub.ID, w)
+		}
+	}
+	return !j.closing
+}
+
 // placeWhereLive assigns a task to the agent that has reported another run of it as live.
 // The agent takes it once that run has ended. If the agent is gone, the end of the run is
 // uncertain and the job is given up.
@@ -204,6 +221,9 @@
 	case now < t.liveRetryAt || !a.Usable(now, &b.settings.Limits):
 		b.retainTask(now, t)
 	default:
+		if !b.callersWait(now, t.job) {
+			return
+		}
 		b.releaseTask(t)
 		a.reserve(now, t)
 		b.assign(now, a, t, liveRetry)
--- a/internal/brokerapi/settings.go
+++ b/internal/brokerapi/settings.go
@@ -27,6 +27,9 @@
 	// ResumeDelay is the time without new commands after a pause of the process, in
 	// which the broker learns which callers have left.
 	ResumeDelay time.Duration
+	// CallerWaits reports whether a caller may still wait for its answer, as far as is known when
+	// it is called; nil means that all do. The broker asks before it starts a task again.
+	CallerWaits func(Waiter) bool
 	// EvacuateWithin is the time from an operator's request to evacuate a data centre after
 	// which no task may start there; 0 means that there are no such requests.
 	EvacuateWithin time.Duration
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -57,12 +57,6 @@
 	sections map[string]EntrySection
 }
 
-// request is a caller's request without an answer so far.
-type request struct {
-	answer  chan broker.Outcome
-	arrived time.Duration
-}
-
 // StartEntry opens the listener for agents and starts the entry's goroutines.
 func StartEntry(o EntryOptions) (*Entry, error) {
 	listener, err := net.Listen("tcp", o.Process.LinkAddress)
@@ -374,55 +368,6 @@
 // Draining reports whether the entry is shutting down.
 func (e *Entry) Draining() bool { return e.draining.Load() }
 
-// Run submits a job and waits for its outcome. It stops waiting when ctx ends or
-// the submission's timeout has passed.
-func (e *Entry) Run(ctx context.Context, sub broker.Submission) broker.Outcome {
-	r := &request{answer: make(chan broker.Outcome, 1)}
-	var w broker.Waiter
-	e.withCore(func(now time.Duration, core *broker.Broker) {
-		e.lastWaiter++
-		w = e.lastWaiter
-		r.arrived = now
-		e.requests[w] = r
-		core.Submit(now, sub, w)
-	})
-	defer e.withCore(func(time.Duration, *broker.Broker) { delete(e.requests, w) })
-	var timeout <-chan time.Time
-	if sub.Timeout > 0 {
-		timer := time.NewTimer(sub.Timeout)
-		defer timer.Stop()
-		timeout = timer.C
-	}
-	outcome := e.await(ctx, r, timeout, sub.ID, w)
-	took := e.now() - r.arrived
-	outcomeCounter(outcome.Kind.String()).Inc()
-	responseTime.Update(took.Seconds())
-	e.log.Info("answer", "job", sub.ID, "queue", sub.Queue.Name, "tasks", len(sub.Tasks), "outcome", outcome.Kind.String(),
-		"reason", outcome.Reason, "took_ms", took.Milliseconds(), "patience_ms", sub.Timeout.Milliseconds(),
-		"retry_after_ms", outcome.RetryAfter.Milliseconds())
-	return outcome
-}
-
-func (e *Entry) await(ctx context.Context, r *request, timeout <-chan time.Time, id string, w broker.Waiter) broker.Outcome {
-	reason := ""
-	select {
-	case o := <-r.answer:
-		return o
-	case <-ctx.Done():
-		reason = "caller-left"
-	case <-timeout:
-		reason = "deadline-passed"
-	}
-	e.withCore(func(now time.Duration, core *broker.Broker) { core.CallerLeft(now, id, w) })
-	// The outcome may have arrived before CallerLeft took effect.
-	select {
-	case o := <-r.answer:
-		return o
-	default:
-		return broker.Outcome{Kind: broker.Unknown, Reason: reason}
-	}
-}
-
 // State returns the state of a job.
 func (e *Entry) State(id string) (broker.State, bool) {
 	e.mu.Lock()
--- a/internal/leasetest/entries_test.go
+++ b/internal/leasetest/entries_test.go
@@ -22,6 +22,8 @@
 	storePath storePath
 	// cutUntil is when the entry is no longer cut off from agents and callers.
 	cutUntil time.Duration
+	// closed holds the requests whose connection has ended as far as the entry's host knows.
+	closed map[broker.Waiter]bool
 	// heldUp holds when the last input of a request arrives that a cut has held up.
 	heldUp map[broker.Waiter]time.Duration
 }
@@ -36,6 +38,8 @@
 	settings.EvacuateWithin = e.w.evacuations.entryBound()
 	settings.Preemption = e.w.preempt.settings
 	settings.Scarcity.Off = e.w.scarcityOff
+	settings.CallerWaits = func(w broker.Waiter) bool { return !e.closed[w] }
+	e.closed = map[broker.Waiter]bool{}
 	e.w.racks.configure(&settings)
 	e.core = broker.New(settings, rand.NewSource(e.w.rng.Int63()))
 	e.links = map[broker.AgentID]*conn{}
@@ -53,10 +57,22 @@
 	})
 }
 
-// receiveRequest handles a caller's request, or the close of its connection, when it has
-// reached the entry.
+// receiveRequest handles a caller's request when it has reached the entry.
 func (e *entry) receiveRequest(w broker.Waiter, f func()) {
-	incarnation, handle := e.incarnation, func() { e.receiveKeyed(w, nil, f) }
+	e.receiveFromCaller(w, func() { e.receiveKeyed(w, nil, f) })
+}
+
+// receiveClose handles the close of a caller's connection when it has reached the entry, whose
+// host knows of it at once.
+func (e *entry) receiveClose(w broker.Waiter, f func()) {
+	e.receiveFromCaller(w, func() {
+		e.closed[w] = true
+		e.receiveKeyed(w, nil, f)
+	})
+}
+
+func (e *entry) receiveFromCaller(w broker.Waiter, handle func()) {
+	incarnation := e.incarnation
 	if e.w.now >= e.cutUntil && e.heldUp[w] == 0 {
 		handle()
 		return
--- a/internal/leasetest/run_ends_test.go
+++ b/internal/leasetest/run_ends_test.go
@@ -70,10 +70,11 @@
 	}
 }
 
-// leave closes the caller's connection without the entry's knowledge. The caller submits the
-// job to another entry at the earliest time that it may.
+// leave closes the caller's connection, of which the entry's host knows, but not its process. The
+// caller submits the job to another entry at the earliest time that it may.
 func (w *world) leave(j *clientJob, other *entry) {
 	w.logf("job %s: connection to entry %d is closed", j.id, j.entry.index)
+	j.entry.closed[j.waiter] = true
 	j.entry = nil
 	w.after(resendAfter, func() { w.submit(j, other) })
 }
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -288,7 +288,7 @@
 	if w.on(lostDepartures) || (w.on(lostInCut) && w.now < e.cutUntil) {
 		w.logf("job %s: the close does not reach entry %d", j.id, e.index)
 	} else {
-		e.receiveRequest(waiter, func() { e.do(func(c *broker.Broker) { c.CallerLeft(e.now(), j.id, waiter) }) })
+		e.receiveClose(waiter, func() { e.do(func(c *broker.Broker) { c.CallerLeft(e.now(), j.id, waiter) }) })
 	}
 	w.after(resendAfter, func() {
 		if w.on(resubmissions) {
