Bar a withdrawn attempt also if another entry's ended run has its number

A withdrawal that overtakes its Assign bars the attempt, so that the Assign starts nothing after the entry was told that the attempt has ended. If an ended run of another entry had the same number, the withdrawal was answered but recorded nothing, and the Assign started the run.

The record of the ended run gives way to one of the withdrawal. Nothing is known to bring the two messages in this order on real links. TestWithdrawalBarsALateAssignAfterAnotherEntrysRun failed before.

--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -136,6 +136,9 @@
 	}
 }
 
+// reasonReplaced is the reason of an attempt whose record another entry's has replaced.
+const reasonReplaced = "replaced"
+
 // reasonLive is the reason for refusing a task that has another live attempt.
 const reasonLive = "task-is-live"
 
@@ -187,6 +190,9 @@
 	switch {
 	case a != nil && a.entry != id:
 		r.reportReplaced(id, a)
+		if a.state.Final() {
+			r.bar(now, id, m.Attempt)
+		}
 	case a == nil:
 		// The Assign may still arrive on an older link: make sure that it starts
 		// nothing.
@@ -230,13 +236,20 @@
 // attempt has. While that one is live, the asker's was refused for it. Afterwards the
 // asker's may have run and ended before its record was replaced.
 func (r *Runner) reportReplaced(id EntryID, present *attempt) {
-	m := Report{Entry: id, Attempt: present.id, State: wire.RunStopped, Reason: "replaced"}
+	m := Report{Entry: id, Attempt: present.id, State: wire.RunStopped, Reason: reasonReplaced}
 	if !present.state.Final() {
 		m.State, m.Reason = wire.RunNotStarted, reasonLive
 	}
 	r.emit(m)
 }
 
+// bar makes sure that an Assign of an attempt that an entry has withdrawn starts nothing.
+func (r *Runner) bar(now time.Duration, id EntryID, ref wire.LeasedAttempt) {
+	a := &attempt{id: ref, entry: id, queueIndex: -1, phase: phaseEnded, state: wire.RunStopped, reason: reasonReplaced, endedAt: now}
+	r.attempts[ref] = a
+	r.ended = append(r.ended, endedAttempt{attempt: a, at: now})
+}
+
 // startWaiting starts waiting tasks in the queue's order while they fit. Each start renews the
 // lease.
 func (r *Runner) startWaiting(now time.Duration) {
