--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -66,12 +66,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
 		options: o, log: o.Log, ctx: ctx, cancel: cancel, clockZero: boottime.Now(),
-		core:     broker.New(o.Broker, rand.NewSource(rand.Int63())),
 		links:    map[broker.AgentID]*transport.TCPLink{},
 		requests: map[broker.Waiter]*request{},
 
 		oddOperator: newOddRows(operatorRows, o.Log), oddUpstreams: newOddRows(upstreamsTable, o.Log),
 	}
+	o.Broker.CallerWaits = e.callerWaits
+	e.core = broker.New(o.Broker, rand.NewSource(rand.Int63()))
 	e.AddSection("scarcity", func(now time.Duration, core *broker.Broker) any { return core.ScarcityStates(now) })
 	e.spawn(func() { e.accept(ctx, listener) })
 	e.spawn(func() { e.tick(ctx) })
