--- a/internal/leased/evacuation_test.go
+++ b/internal/leased/evacuation_test.go
@@ -110,7 +110,7 @@
 	f.write("op/config", "1", false)
 	f.write("op/evacuate/nowhere", "{}", false)
 	var text logBuffer
-	e, a := startEvacuable(t, f, "127.0.0.1:47731", slog.New(slog.NewTextHandler(&text, nil)))
+	e, a := startEvacuable(t, f, "127.0.0.1:24731", slog.New(slog.NewTextHandler(&text, nil)))
 	if o := run(t, e, "j1"); o.Kind != broker.Completed {
 		t.Fatalf("job before the request: %+v", o)
 	}
@@ -145,7 +145,7 @@
 	f := newOperatorTable()
 	f.write("op/config", "1", false)
 	f.write("op/evacuate/dc", "{}", false)
-	e, _ := startEvacuable(t, f, "127.0.0.1:47732", slog.New(slog.DiscardHandler))
+	e, _ := startEvacuable(t, f, "127.0.0.1:24732", slog.New(slog.DiscardHandler))
 	if o := run(t, e, "j1"); o.Kind != broker.Refused || o.Reason != "evacuated" {
 		t.Errorf("job at the start: %+v", o)
 	}
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -269,7 +269,7 @@
 // entry, a link, an agent and its upstream, and its answer comes back.
 func TestJobThroughEntryAndAgent(t *testing.T) {
 	f := &feed{}
-	const address = "127.0.0.1:47720"
+	const address = "127.0.0.1:24720"
 	f.put("op/config", "1")
 	e, err := StartEntry(EntryOptions{
 		Process: ProcessInfo{Host: "e1", Incarnation: "1", DataCentre: "dc", LinkAddress: address},
--- a/internal/leased/malformed_test.go
+++ b/internal/leased/malformed_test.go
@@ -107,7 +107,7 @@
 // Guards against an entry that ends, or serves no job any more, after messages with values
 // that no agent sends, and frames that are not messages.
 func TestEntrySurvivesMalformedMessages(t *testing.T) {
-	const address = "127.0.0.1:47731"
+	const address = "127.0.0.1:24731"
 	f := &feed{}
 	f.put("op/config", "1")
 	e, err := StartEntry(EntryOptions{
