--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -168,10 +168,13 @@
 	j.pending = slices.DeleteFunc(j.pending, func(p pendingSubmission) bool { return p.waiter == w })
 	j.waiters = slices.DeleteFunc(j.waiters, func(o Waiter) bool { return o == w })
 	if len(j.waiters) == 0 && !j.closing {
-		b.close(now, j, Outcome{Kind: Unknown, Reason: "caller-left"})
+		b.close(now, j, callerLeft)
 	}
 }
 
+// callerLeft is the outcome of a job for which no caller waits.
+var callerLeft = Outcome{Kind: Unknown, Reason: "caller-left"}
+
 // Cancel ends a job at its caller's request.
 func (b *Broker) Cancel(now time.Duration, id string) bool {
 	j := b.jobs[id]
@@ -258,6 +261,10 @@
 	delete(b.jobs, j.sub.ID)
 	b.answers.Add(j.sub.ID, outcomes.Ended{Outcome: j.outcome, LastRun: j.lastRun, Started: j.started || j.startedEarlier}, now+b.settings.AnswerRetention)
 	for _, p := range j.pending {
+		if !b.callerWaits(p.waiter) {
+			b.emit(Answer{Waiter: p.waiter, Job: j.sub.ID, Outcome: callerLeft})
+			continue
+		}
 		b.Submit(now, p.sub, p.waiter)
 	}
 }
--- a/internal/broker/review_e_test.go
+++ b/internal/broker/pending_test.go
@@ -24,3 +24,18 @@
 		t.Errorf("%d starts for a caller that has left", n)
 	}
 }
+
+// Guards against a request that waits until its timeout because its caller was dropped without an
+// answer.
+func TestDroppedCallerGetsAnAnswer(t *testing.T) {
+	g := newRig(t, "a", "b")
+	left := false
+	g.b.settings.CallerWaits = func(Waiter) bool { return !left }
+	g.submit("j1", 1, 1)
+	first := messages[wire.Assign](g.takeEffects())[0]
+	left = true
+	g.report(first, wire.RunStopped, "upstream-restarted")
+	if got := answers(g.takeEffects()); len(got) != 1 || got[0].Outcome.Kind != Unknown {
+		t.Errorf("answers %v, want one of an unknown outcome", got)
+	}
+}
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -198,17 +198,20 @@
 // callersWait ends the requests of callers that have left and reports whether any caller waits
 // for the job. Their departure may not have been handled yet, while the job runs elsewhere.
 func (b *Broker) callersWait(now time.Duration, j *job) bool {
-	if b.settings.CallerWaits == nil {
-		return true
-	}
 	for _, w := range slices.Clone(j.waiters) {
-		if !b.settings.CallerWaits(w) {
+		if !b.callerWaits(w) {
+			// The request's own goroutine may not notice the end of the connection.
+			b.emit(Answer{Waiter: w, Job: j.sub.ID, Outcome: callerLeft})
 			b.CallerLeft(now, j.sub.ID, w)
 		}
 	}
 	return !j.closing
 }
 
+func (b *Broker) callerWaits(w Waiter) bool {
+	return b.settings.CallerWaits == nil || b.settings.CallerWaits(w)
+}
+
 // placeWhereLive assigns a task to the agent that has reported another run of it as live.
 // The agent takes it once that run has ended. If the agent is gone, the end of the run is
 // uncertain and the job is given up.
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -80,12 +80,19 @@
 	at      time.Duration
 }
 
+// barredAttempt is an attempt that an entry has withdrawn while another entry's ended run had its
+// number. A late Assign of it starts nothing.
+type barredAttempt struct {
+	entry   EntryID
+	attempt wire.LeasedAttempt
+}
+
 // occupies reports whether the attempt occupies capacity of the upstream.
 func (a *attempt) occupies() bool { return a.phase > phaseWaiting && a.phase < phaseEnded }
 
 // foreignRun is a run that this process did not start.
 type foreignRun struct {
-	stopSentAt time.Duration
+	foundAt, stopSentAt time.Duration
 }
 
 // Assign handles a task from an entry.
@@ -100,6 +107,10 @@
 	if m.StartWithinMS > 0 {
 		a.startDeadline = now + time.Duration(m.StartWithinMS)*time.Millisecond
 	}
+	if r.barred[barredAttempt{id, a.id}] > 0 {
+		r.emit(Report{Entry: id, Attempt: a.id, State: wire.RunStopped, Reason: reasonReplaced})
+		return
+	}
 	if old := r.attempts[a.id]; old != nil {
 		switch {
 		case old.entry == id:
@@ -191,7 +202,7 @@
 	case a != nil && a.entry != id:
 		r.reportReplaced(id, a)
 		if a.state.Final() {
-			r.bar(now, id, m.Attempt)
+			r.barred[barredAttempt{id, m.Attempt}] = now
 		}
 	case a == nil:
 		// The Assign may still arrive on an older link: make sure that it starts
@@ -243,13 +254,6 @@
 	r.emit(m)
 }
 
-// bar makes sure that an Assign of an attempt that an entry has withdrawn starts nothing.
-func (r *Runner) bar(now time.Duration, id EntryID, ref wire.LeasedAttempt) {
-	a := &attempt{id: ref, entry: id, queueIndex: -1, phase: phaseEnded, state: wire.RunStopped, reason: reasonReplaced, endedAt: now}
-	r.attempts[ref] = a
-	r.ended = append(r.ended, endedAttempt{attempt: a, at: now})
-}
-
 // startWaiting starts waiting tasks in the queue's order while they fit. Each start renews the
 // lease.
 func (r *Runner) startWaiting(now time.Duration) {
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -336,7 +336,7 @@
 	if r.foreign[id] != nil {
 		return
 	}
-	r.foreign[id] = &foreignRun{stopSentAt: now}
+	r.foreign[id] = &foreignRun{foundAt: now, stopSentAt: now}
 	r.emit(Decision{Attempt: id, Action: "stop", Reason: "unknown-run", FreeCPU: r.freeCPU()})
 	r.emit(StopRun{Upstream: r.upstreamID(), Attempt: id})
 }
@@ -367,6 +367,10 @@
 		switch {
 		case !a.occupies():
 			continue
+		case running[a.id] && a.phase == phaseStopping:
+			// The stop may have been accepted by the earlier incarnation.
+			a.stopAnswered, a.listedAfterStop = false, false
+			r.sendStop(now, a)
 		case running[a.id] || list.mayHide(a.id.Task):
 		case a.phase == phaseRunning && a.confirmedAt < list.RequestedAt:
 			r.finish(now, a, wire.RunStopped, reasonRestarted, now-a.startSentAt)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -8,6 +8,11 @@
 
 // leaseRenewable reports whether the lease may be renewed now.
 func (r *Runner) leaseRenewable(now time.Duration) bool {
+	for _, f := range r.foreign {
+		if now-f.foundAt > r.settings.StopAnswerTimeout {
+			return false
+		}
+	}
 	for _, a := range r.active {
 		if a.occupies() && !a.stopAnswered && now > r.renewableUntil(a) {
 			return false
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -147,6 +147,9 @@
 	// liveByTask is the attempt of a task that waits or runs here.
 	liveByTask map[wire.LeasedTask]*attempt
 	queue      queue
+	// barred holds the attempts of which a late Assign starts nothing, with the time of their
+	// withdrawal.
+	barred map[barredAttempt]time.Duration
 	// foreign holds runs on the upstream that this process did not start.
 	foreign map[wire.LeasedAttempt]*foreignRun
 
@@ -188,6 +191,7 @@
 		attempts:   map[wire.LeasedAttempt]*attempt{},
 		liveByTask: map[wire.LeasedTask]*attempt{},
 		foreign:    map[wire.LeasedAttempt]*foreignRun{},
+		barred:     map[barredAttempt]time.Duration{},
 	}
 }
 
@@ -393,6 +397,7 @@
 }
 
 func (r *Runner) expireEnded(now time.Duration) {
+	maps.DeleteFunc(r.barred, func(_ barredAttempt, at time.Duration) bool { return now-at > r.settings.EndedRetention })
 	for len(r.ended) > 0 && now-r.ended[0].at > r.settings.EndedRetention {
 		if a := r.ended[0].attempt; r.attempts[a.id] == a {
 			delete(r.attempts, a.id)
