--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,7 +34,7 @@
 	HistoryGone = PlatformErrors.NewType("history_gone")
 	// ConnectionRefused: nothing listens at the address any more.
 	ConnectionRefused = PlatformErrors.NewType("vanished")
-	// ListenerClosed: nothing listens at the address, but connections to it are open.
+	// ListenerClosed: nothing listens at the address, but the process may go on.
 	ListenerClosed = PlatformErrors.NewType("listener_closed")
 )
 
--- a/internal/runner/refused.go
+++ b/internal/runner/refused.go
@@ -7,8 +7,8 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// ConnectionRefused handles a refused connection to an incarnation of the upstream while others
-// are open, or an answer that another incarnation has its address. The process may go on, so
+// ConnectionRefused handles a refused connection to an incarnation of the upstream whose process
+// is not known to have ended, or an answer that another incarnation has its address. The process may go on, so
 // nothing is started or renewed, and the runs count as ended only when their lease has expired, or
 // a list of the next incarnation shows it. The refusal may be handled after that incarnation has
 // begun.
@@ -36,8 +36,8 @@
 	r.UpstreamEnded(now, r.upstream.UpstreamID)
 }
 
-// UpstreamEnded handles the end of an incarnation's process, and so of all its runs: it refuses
-// connections, and none to it is left open.
+// UpstreamEnded handles the end of an incarnation's process, and so of all its runs: it has broken
+// off a call, refuses connections, and none to it is left open.
 func (r *Runner) UpstreamEnded(now time.Duration, id UpstreamID) {
 	if r.upstream == nil || r.upstream.UpstreamID != id {
 		return
