Ignore a refusal that is handled after a later list

The refusal of an earlier request ended the runs that a list showed which was requested later and handled first. Refusals are now compared with the request time of the newest list.

--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -154,9 +154,9 @@
 		case err == nil:
 			core.ListReceived(now, answer)
 		case errorx.IsOfType(err, fault.ListenerClosed):
-			core.ConnectionRefused(now, id)
+			core.ConnectionRefused(now, requestedAt, id)
 		case errorx.IsOfType(err, fault.ConnectionRefused):
-			core.UpstreamEnded(now, id)
+			core.UpstreamEnded(now, requestedAt, id)
 		case errorx.IsOfType(err, fault.Conflict):
 			core.Fenced()
 		default:
--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -422,7 +422,7 @@
 	poll = func() {
 		switch {
 		case a.upstream().down && !a.upstream().mute():
-			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { a.upstream().refuse(r, a.now(), id) }) })
+			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { a.upstream().refuse(r, a.now(), requestedAt, id) }) })
 		case a.upstream().mute():
 			a.w.after(310*time.Millisecond, failed)
 		case request.Wait && a.w.now < until && !a.upstream().hasEnd(request.LastSeen):
--- a/internal/leasetest/hazards_test.go
+++ b/internal/leasetest/hazards_test.go
@@ -339,7 +339,7 @@
 	case u.unreachable == flapReset:
 		w.after(step, failed)
 	case u.unreachable == flapRefused:
-		w.after(step, func() { finish(func(r *runner.Runner) { r.ConnectionRefused(a.now(), id) }) })
+		w.after(step, func() { finish(func(r *runner.Runner) { r.ConnectionRefused(a.now(), a.now(), id) }) })
 	case w.strikes(lateLists):
 		w.after(310*time.Millisecond, failed)
 		w.after(w.between(step, 3*time.Second), late)
--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -74,12 +74,12 @@
 }
 
 // refuse lets the runner handle a refused connection. A crashed process has closed all others.
-func (u *upstream) refuse(r *runner.Runner, now time.Duration, id runner.UpstreamID) {
+func (u *upstream) refuse(r *runner.Runner, now, requestedAt time.Duration, id runner.UpstreamID) {
 	if len(u.runs) == 0 {
-		r.UpstreamEnded(now, id)
+		r.UpstreamEnded(now, requestedAt, id)
 		return
 	}
-	r.ConnectionRefused(now, id)
+	r.ConnectionRefused(now, requestedAt, id)
 }
 
 // mute reports whether requests get no answer.
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -325,7 +325,7 @@
 			r.lease.raiseToken()
 		case ReasonOtherIncarnation:
 			// The incarnation meant has ended; the new one will announce itself.
-			r.ConnectionRefused(now, a.startedFor)
+			r.ConnectionRefused(now, a.startSentAt, a.startedFor)
 		}
 	case StartUnanswered:
 		// The command may be carried out at any time before its own deadline. A
--- a/internal/runner/refused.go
+++ b/internal/runner/refused.go
@@ -12,8 +12,8 @@
 // nothing is started or renewed, and the runs count as ended only when their lease has expired, or
 // a list of the next incarnation shows it. The refusal may be handled after that incarnation has
 // begun.
-func (r *Runner) ConnectionRefused(now time.Duration, id UpstreamID) {
-	if r.upstream == nil || r.upstream.UpstreamID != id {
+func (r *Runner) ConnectionRefused(now, requestedAt time.Duration, id UpstreamID) {
+	if !r.refusalCounts(requestedAt, id) {
 		return
 	}
 	if r.refusedSince == 0 {
@@ -23,6 +23,12 @@
 	r.endRefused(now)
 }
 
+// refusalCounts reports whether a refused call was for the present incarnation, which has answered
+// no list that was requested later.
+func (r *Runner) refusalCounts(requestedAt time.Duration, id UpstreamID) bool {
+	return r.upstream != nil && r.upstream.UpstreamID == id && requestedAt >= r.lease.comparedRequestAt
+}
+
 // endRefused gives up an upstream that refuses connections once no run can be left.
 func (r *Runner) endRefused(now time.Duration) {
 	if r.refusedSince == 0 || r.upstream == nil {
@@ -33,13 +39,13 @@
 			return
 		}
 	}
-	r.UpstreamEnded(now, r.upstream.UpstreamID)
+	r.UpstreamEnded(now, now, r.upstream.UpstreamID)
 }
 
 // UpstreamEnded handles the end of an incarnation's process, and so of all its runs: it has broken
 // off a call, refuses connections, and none to it is left open.
-func (r *Runner) UpstreamEnded(now time.Duration, id UpstreamID) {
-	if r.upstream == nil || r.upstream.UpstreamID != id {
+func (r *Runner) UpstreamEnded(now, requestedAt time.Duration, id UpstreamID) {
+	if !r.refusalCounts(requestedAt, id) {
 		return
 	}
 	r.newIncarnation(now, UpstreamID{ID: r.upstream.ID})
--- a/internal/runner/refused_test.go
+++ b/internal/runner/refused_test.go
@@ -31,7 +31,7 @@
 	startRun(t, r, begin, "j1")
 	r.NextListRequest(begin + 5*time.Millisecond)
 	refused := begin + 10*time.Millisecond
-	r.ConnectionRefused(refused, incarnation)
+	r.ConnectionRefused(refused, refused, incarnation)
 	if request := r.NextListRequest(refused); request.LeaseEndMS != 0 {
 		t.Error("the lease is renewed")
 	}
@@ -48,7 +48,7 @@
 
 	r = newReady(t)
 	startRun(t, r, begin, "j1")
-	r.ConnectionRefused(refused, incarnation)
+	r.ConnectionRefused(refused, refused, incarnation)
 	r.ListReceived(refused+2*time.Millisecond, RunList{RequestedAt: refused + time.Millisecond, ClockMS: 512, StartMS: incarnation.StartMS,
 		Running: []wire.LeasedAttempt{attemptOf("j1", 1)}})
 	if !r.Load(refused+3*time.Millisecond, entryA).Ready {
--- a/internal/runner/run_ends_test.go
+++ b/internal/runner/run_ends_test.go
@@ -36,7 +36,7 @@
 	if request := r.NextListRequest(begin + 50*time.Millisecond); request.LeaseEndMS == 0 {
 		t.Fatal("the lease is not renewed")
 	}
-	r.ConnectionRefused(begin+60*time.Millisecond, incarnation)
+	r.ConnectionRefused(begin+60*time.Millisecond, begin+60*time.Millisecond, incarnation)
 	if reports := finalReports(r); len(reports) != 0 {
 		t.Errorf("the run was reported as ended %v before its lease ends: %v", r.settings.Lease-10*time.Millisecond, reports)
 	}
