Match answers to starts by their call

An answer to the start of one entry's attempt, handled after that attempt had ended and another entry's with the same number had started, was taken for the answer to the second start: a refusal reported its run as not started, and gave up the upstream. It takes an answer more than 1.1 s late.

Starts carry the time at which they were sent, and an answer counts only for that call. TestLateAnswerToAnotherEntrysStartEndsNoRun failed before; it now passes the time with the answer, as the I/O layer does.

--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -35,6 +35,7 @@
 	begin := time.Now()
 	overdue := time.AfterFunc(a.options.Runner.StartAnswerTimeout+time.Millisecond, a.notifyListLoop)
 	answer := a.options.Upstream.Start(call.ctx, m, token)
+	answer.SentAt = m.SentAt
 	overdue.Stop()
 	startTime.UpdateDuration(begin)
 	if answer.Outcome != runner.StartAccepted {
--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -170,7 +170,7 @@
 
 func (a *agent) startNow(m runner.StartRun, token uint64, back func(func())) {
 	answer := a.upstream().start(m, token)
-	answer.ClockMS = a.upstream().clock()
+	answer.ClockMS, answer.SentAt = a.upstream().clock(), m.SentAt
 	back(func() { a.do(func(r *runner.Runner) { r.Started(a.now(), m.Attempt, answer) }) })
 }
 
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -293,7 +293,7 @@
 		"cpu", r.usedCPU, "capacity", r.upstream.CPU)
 	basis := &StartBasis{Upstream: r.upstream.UpstreamID, Token: r.lease.token, LeaseEndMS: r.lease.leaseEndMS(now, r.settings.Lease),
 		ConfirmationAge: now - r.entry(a.entry).confirmedAt}
-	r.emit(StartRun{Upstream: basis.Upstream, Attempt: a.id, Spec: a.assign.Spec, LeaseEndMS: basis.LeaseEndMS})
+	r.emit(StartRun{Upstream: basis.Upstream, Attempt: a.id, Spec: a.assign.Spec, LeaseEndMS: basis.LeaseEndMS, SentAt: now})
 	r.emit(Decision{Entry: a.entry, Attempt: a.id, Action: "start", FreeCPU: r.upstream.CPU - r.usedCPU, Start: basis,
 		Waited: now - (a.dueAt - time.Duration(a.assign.SlackMS)*time.Millisecond)})
 	r.report(a)
@@ -306,7 +306,7 @@
 // Started handles the upstream's answer to a start.
 func (r *Runner) Started(now time.Duration, id wire.LeasedAttempt, answer StartAnswer) {
 	a := r.attempts[id]
-	if a == nil || !a.occupies() {
+	if a == nil || !a.occupies() || (answer.SentAt > 0 && answer.SentAt != a.startSentAt) {
 		return
 	}
 	if answer.ClockMS > 0 && a.startedFor == r.upstreamID() {
--- a/internal/runner/beliefs_test.go
+++ b/internal/runner/beliefs_test.go
@@ -45,7 +45,7 @@
 	if n := len(effects[StartRun](r)); n != 1 {
 		t.Fatalf("%d starts", n)
 	}
-	r.Started(begin+1401*time.Millisecond, attemptOf("j1", 1), StartAnswer{Outcome: StartRefused, Reason: ReasonOtherIncarnation})
+	r.Started(begin+1401*time.Millisecond, attemptOf("j1", 1), StartAnswer{Outcome: StartRefused, Reason: ReasonOtherIncarnation, SentAt: begin})
 	for _, m := range finalReports(r) {
 		t.Errorf("B's attempt was reported as %v %q by the answer to A's start", m.State, m.Reason)
 	}
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -17,6 +17,8 @@
 	Attempt    wire.LeasedAttempt
 	Spec       string
 	LeaseEndMS int64
+	// SentAt identifies the call among those for attempts of the same number.
+	SentAt time.Duration
 }
 
 // StopRun commands the upstream to stop an attempt. If the start command is still in
@@ -103,4 +105,6 @@
 	Reason  string
 	// ClockMS is the upstream's clock, or 0 if the answer does not contain it.
 	ClockMS int64
+	// SentAt is that of the call; 0 if it is not known.
+	SentAt time.Duration
 }
