--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,8 +19,8 @@
 	"github.com/damasklb/damasklb/internal/configstore"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/ledger"
+	"github.com/damasklb/damasklb/internal/malformed"
 	"github.com/damasklb/damasklb/internal/membership"
-	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/transport"
 	"github.com/damasklb/damasklb/internal/wire"
@@ -72,7 +72,7 @@
 	client   *http.Client
 
 	follower      *configstore.Follower
-	odd           *oddrow.Reporter
+	invalid       *malformed.Reporter
 	mapVersion    atomic.Uint64
 	configVersion atomic.Uint64
 	linkCount     atomic.Int64
@@ -105,7 +105,7 @@
 	o.Settings.DataCentre = o.DataCentre
 	a := &Agent{
 		opts: o, start: time.Now(), core: ledger.New(o.Settings, o.Gate), events: make(chan func(ledger.Instant), eventQueueSize),
-		done: make(chan struct{}), drainStarted: make(chan struct{}), follower: configstore.NewFollower(nil), odd: oddrow.New(o.Log),
+		done: make(chan struct{}), drainStarted: make(chan struct{}), follower: configstore.NewFollower(nil), invalid: malformed.New(o.Log),
 		links: map[string]*transport.Link{}, client: newUpstreamClient(),
 	}
 	if err := checkLoopback(o.AnnounceListen); err != nil {
@@ -282,7 +282,7 @@
 
 func (a *Agent) mapNotice(now ledger.Instant, n *wire.MapNotice) {
 	m, err := membership.Decode(n.Row)
-	a.odd.Check("map_notice", membership.MapKey, err)
+	a.invalid.Check("map_notice", membership.MapKey, err)
 	if err != nil || m.Version != n.Version {
 		return
 	}
@@ -348,7 +348,7 @@
 		return
 	}
 	m, err := membership.Decode(row.Value)
-	a.odd.Check("map", membership.MapKey, err)
+	a.invalid.Check("map", membership.MapKey, err)
 	if err != nil {
 		return
 	}
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -40,7 +40,7 @@
 	m, err := parseAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
 	if err != nil {
 		refusedAnnouncements.Inc()
-		a.odd.Check("announcement", m.Service, err)
+		a.invalid.Check("announcement", m.Service, err)
 		http.Error(w, fault.Text(err), http.StatusBadRequest)
 		return
 	}
--- a/internal/agent/announce_test.go
+++ b/internal/agent/announce_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/ledger"
-	"github.com/damasklb/damasklb/internal/oddrow"
+	"github.com/damasklb/damasklb/internal/malformed"
 )
 
 // announce posts an announcement to an agent without links and returns the status and the
@@ -35,7 +35,7 @@
 func newTestAgent(log *slog.Logger) *Agent {
 	a := &Agent{
 		opts: Options{Host: "w1", Incarnation: "i1", Log: log}, core: ledger.New(ledger.DefaultSettings(), ledger.OpenGate{}),
-		events: make(chan func(ledger.Instant), 8), odd: oddrow.New(log),
+		events: make(chan func(ledger.Instant), 8), invalid: malformed.New(log),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.registered.Store(true)
@@ -52,35 +52,35 @@
 	return "{" + strings.Join(members, ",") + "}"
 }
 
-// Guards against an upstream that gets tasks although its announcement is odd, which fail
+// Guards against an upstream that gets tasks although its announcement is malformed, which fail
 // at once, and against one that ends the agent or hides the upstream beside it.
-func TestOddAnnouncementsAreRefused(t *testing.T) {
+func TestMalformedAnnouncementsAreRefused(t *testing.T) {
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	long, err := json.Marshal(strings.Repeat("x", 60<<10))
 	if err != nil {
 		t.Fatal(err)
 	}
-	odd := []string{"", "null", "[]", "{", `"x"`, deep}
+	invalid := []string{"", "null", "[]", "{", `"x"`, deep}
 	for _, v := range []string{"-1", "0", "1e30", "4097", `"4"`, "null", "1.5", deep} {
-		odd = append(odd, announcement("slots", v))
+		invalid = append(invalid, announcement("slots", v))
 	}
 	for _, v := range []string{
 		"7", "null", `""`, `"127.0.0.1:80"`, `"http://"`, `"http://:8080"`, `"http://127.0.0.1:99999"`, `"http://127.0.0.1:0"`,
 		`"http://127.0.0.1:-1"`, `"http://127.0.0.1:18446744073709551617"`, `"https://127.0.0.1:80"`, `"http://127.0.0.1:80/\u0000"`, string(long),
 	} {
-		odd = append(odd, announcement("address", v))
+		invalid = append(invalid, announcement("address", v))
 	}
 	for _, field := range []string{"service", "site"} {
 		for _, v := range []string{"7", "null", `""`, string(long), deep} {
-			odd = append(odd, announcement(field, v))
+			invalid = append(invalid, announcement(field, v))
 		}
 	}
 	for _, v := range []string{"null", "[]", `"c"`, "[7]", `[""]`, "[null]", "[" + string(long) + "]", deep} {
-		odd = append(odd, announcement("classes", v))
+		invalid = append(invalid, announcement("classes", v))
 	}
 	var out bytes.Buffer
 	a := newTestAgent(slog.New(slog.NewJSONHandler(&out, nil)))
-	for _, body := range odd {
+	for _, body := range invalid {
 		if status, upstreams := announce(t, a, body); status != http.StatusBadRequest || upstreams != 0 {
 			t.Errorf("%.90s: status %d, %d upstreams", body, status, upstreams)
 		}
@@ -95,8 +95,8 @@
 	}
 }
 
-// Guards against an agent that drains, which cannot be undone, because of an odd request.
-func TestOddLeaveRequestDoesNotDrainTheAgent(t *testing.T) {
+// Guards against an agent that drains, which cannot be undone, because of a malformed request.
+func TestMalformedLeaveRequestDoesNotDrainTheAgent(t *testing.T) {
 	for _, body := range []string{"null", "[]", "{", `"x"`, `{"service":null}`, `{"service":7}`, `{"servce":"s"}`, strings.Repeat(`{"a":`, 12_000)} {
 		a := newTestAgent(slog.New(slog.DiscardHandler))
 		a.drainStarted = make(chan struct{})
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -14,7 +14,7 @@
 // reports it to the sender at once. The agent starts nothing before it has a version.
 func (a *Agent) updateConfigIfNewer(l *transport.Link, n *wire.ConfigNotice) {
 	_, err := a.follower.UpdateIfNewer(n.Version, n.Content)
-	a.odd.Check("config_notice", configstore.VersionKey(n.Version), err)
+	a.invalid.Check("config_notice", configstore.VersionKey(n.Version), err)
 	if err != nil {
 		return
 	}
--- a/internal/agent/row.go
+++ b/internal/agent/row.go
@@ -81,16 +81,16 @@
 	a.commitRow(ctx, key, left, platform.Condition{Key: key, Version: row.Version})
 }
 
-// decodeRow reads the agent's row. An odd one has no incarnation.
+// decodeRow reads the agent's row. A malformed one has no incarnation.
 func (a *Agent) decodeRow(row platform.Row) owner.AgentRow {
 	decoded := owner.DecodeAgentRow(owner.AgentKeyPrefix+a.opts.Host, row.Value)
 	var err error
 	if decoded.Unreadable {
 		err = fault.BadResponse.New("not the row of the agent of this host")
 	}
-	a.odd.Check("agent", owner.AgentKeyPrefix+a.opts.Host, err)
+	a.invalid.Check("agent", owner.AgentKeyPrefix+a.opts.Host, err)
 	return decoded
 }
 
-// OddMessage reports a message of an entry that cannot be read.
-func (a *Agent) OddMessage(peer string, err error) { a.odd.Check("message", peer, err) }
+// MalformedMessage reports a message of an entry that cannot be read.
+func (a *Agent) MalformedMessage(peer string, err error) { a.invalid.Check("message", peer, err) }
--- a/internal/agent/row_test.go
+++ b/internal/agent/row_test.go
@@ -50,7 +50,7 @@
 
 // Guards against an agent that does not repair its row when it renews it, or that hides with
 // it that an earlier process may have run on the host.
-func TestAgentReplacesAnOddRow(t *testing.T) {
+func TestAgentReplacesAnMalformedRow(t *testing.T) {
 	for _, value := range []string{"", "null", "{}", "{", "[]", `{"host":"w2","incarnation":"i1"}`, `{"replaced":-1}`, strings.Repeat("[", 20_000)} {
 		table := standin.NewMemory()
 		a := newTestAgent(slog.New(slog.DiscardHandler))
--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -175,7 +175,7 @@
 
 // Guards against inputs of agents and callers that end the process or give a wait that is no
 // number.
-func TestRackDecisionTakesOddInputs(t *testing.T) {
+func TestRackDecisionTakesMalformedInputs(t *testing.T) {
 	for _, cpu := range []int{0, 1, 4000, 1 << 30} {
 		for _, l := range []wire.Load{
 			{Ready: true, Service: "s"},
--- a/internal/cli/settings_test.go
+++ b/internal/cli/settings_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against a settings file that crashes a command, or is not refused as a whole.
-func TestOddSettingsAreRefused(t *testing.T) {
+func TestMalformedSettingsAreRefused(t *testing.T) {
 	for name, text := range map[string]string{
 		"empty": "", "null": "null", "list": "[]", "deep list": strings.Repeat("[", 60_000), "deep value": `{"n":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + "}",
 		"deep object": strings.Repeat(`{"n":`, 12_000), "large number": `{"n":1e999}`, "number above the type": `{"n":18446744073709551617}`,
--- a/internal/configstore/oddrows_test.go
+++ b/internal/configstore/malformedrows_test.go
@@ -11,8 +11,8 @@
 	"github.com/damasklb/damasklb/internal/platform/standin"
 )
 
-// oddValues are values that another writer may leave in a row.
-var oddValues = []string{
+// malformedValues are values that another writer may leave in a row.
+var malformedValues = []string{
 	"", "null", "[]", "{}", "{", `"x"`, `{"version":-1}`, `{"version":1e30}`, `{"version":"2"}`, `{"version":0}`,
 	strings.Repeat("[", 20_000), strings.Repeat(`{"a":`, 20_000),
 }
@@ -25,9 +25,9 @@
 }
 
 // Guards against a key that is sent with each ping although no data centre has its name,
-// and against an odd request that hides the ones beside it.
-func TestOddEvacuationRowsDoNotHideOthers(t *testing.T) {
-	for _, value := range oddValues {
+// and against a malformed request that hides the ones beside it.
+func TestMalformedEvacuationRowsDoNotHideOthers(t *testing.T) {
+	for _, value := range malformedValues {
 		table := standin.NewMemory()
 		write(t, table, EvacuationsKey, value)
 		write(t, table, EvacuationKey("a"), value)
@@ -45,8 +45,8 @@
 }
 
 // Guards against a process that stops following the configuration, or goes back, because
-// the head row was odd for a while.
-func TestFollowerKeepsItsVersionWhileTheHeadIsOdd(t *testing.T) {
+// the head row was malformed for a while.
+func TestFollowerKeepsItsVersionWhileTheHeadIsMalformed(t *testing.T) {
 	table := standin.NewMemory()
 	s, f := New(table), NewFollower(table)
 	applyNext(t, s, 0)
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, value := range oddValues {
+	for _, value := range malformedValues {
 		write(t, table, HeadKey, value)
 		evacuations, changed, err := f.PollEvacuations(t.Context())
 		if !errorx.IsOfType(err, fault.BadResponse) || changed || f.Version() != 1 || evacuations == nil {
@@ -72,9 +72,9 @@
 }
 
 // Guards against a change that overwrites the first version and its audit record because
-// an odd head row passes for a store without versions.
-func TestNoChangeOverAnOddHead(t *testing.T) {
-	for _, value := range oddValues {
+// a malformed head row passes for a store without versions.
+func TestNoChangeOverAnMalformedHead(t *testing.T) {
+	for _, value := range malformedValues {
 		table := standin.NewMemory()
 		s := New(table)
 		content := applyNext(t, s, 0)
@@ -89,10 +89,10 @@
 	}
 }
 
-// Guards against a process that never uses a version whose row was odd when the head was
+// Guards against a process that never uses a version whose row was malformed when the head was
 // first read.
 func TestFollowerUsesARepairedVersion(t *testing.T) {
-	for _, value := range oddValues {
+	for _, value := range malformedValues {
 		table := standin.NewMemory()
 		s, f := New(table), NewFollower(table)
 		content := applyNext(t, s, 0)
@@ -107,9 +107,9 @@
 	}
 }
 
-// Guards against an audit trail that cannot be read any more because one record is odd.
-func TestHistoryShowsTheRecordsBesideAnOddOne(t *testing.T) {
-	for _, value := range oddValues {
+// Guards against an audit trail that cannot be read any more because one record is malformed.
+func TestHistoryShowsTheRecordsBesideAnMalformedOne(t *testing.T) {
+	for _, value := range malformedValues {
 		table := standin.NewMemory()
 		s := New(table)
 		for base := range uint64(3) {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -49,7 +49,7 @@
 		e.evacuationsRead(requestedAt, rows)
 	}
 	if err == nil || errorx.IsOfType(err, fault.BadResponse) || errorx.IsOfType(err, fault.BadConfig) || errorx.IsOfType(err, fault.NoVersion) {
-		e.odd.Check("config", configstore.HeadKey, err)
+		e.invalid.Check("config", configstore.HeadKey, err)
 	}
 	return err
 }
@@ -57,7 +57,7 @@
 // updateConfigIfNewer puts a version from a peer in force if it is newer.
 func (e *Entry) updateConfigIfNewer(n *wire.ConfigNotice) {
 	_, err := e.follower.UpdateIfNewer(n.Version, n.Content)
-	e.odd.Check("config_notice", configstore.VersionKey(n.Version), err)
+	e.invalid.Check("config_notice", configstore.VersionKey(n.Version), err)
 	if err != nil {
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,8 +20,8 @@
 	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/gate"
+	"github.com/damasklb/damasklb/internal/malformed"
 	"github.com/damasklb/damasklb/internal/membership"
-	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/transport"
@@ -107,7 +107,7 @@
 	drainRequested chan struct{}
 	drainOnce      sync.Once
 	upstreams      atomic.Int64
-	odd            *oddrow.Reporter
+	invalid        *malformed.Reporter
 	// evacuations is a copy of what the core knows of evacuations, nil before it knows any.
 	evacuations atomic.Pointer[evacuation.Tracker]
 	// evacuationRows is what the entry last read from the table, for status pages.
@@ -139,7 +139,7 @@
 		firstReady: make(chan struct{}),
 		follower:   configstore.NewFollower(o.Table), drainRequested: make(chan struct{}), firstConfig: make(chan struct{}),
 		links: map[string]*transport.Link{}, peers: map[string]*peerInfo{}, pendingReplies: map[uint64]chan *wire.Answer{},
-		odd:               oddrow.New(o.Log),
+		invalid:           malformed.New(o.Log),
 		warnedEvacuations: map[string]uint64{},
 		warnedUnreadable:  map[string]uint64{},
 	}
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -25,7 +25,7 @@
 func (e *Entry) evacuationsRead(requestedAt time.Duration, rows *configstore.Evacuations) {
 	e.evacuationRows.Store(rows)
 	for _, row := range rows.Ignored {
-		e.odd.Check("evacuation", row.Key, row.Problem)
+		e.invalid.Check("evacuation", row.Key, row.Problem)
 	}
 	e.post(func(now time.Duration) { e.applyEvacuations(now, rows.Update(requestedAt), rows) })
 }
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -65,7 +65,7 @@
 
 // Guards against a connection that is cut because another entry sent an answer with a
 // status that HTTP does not have.
-func TestAnswerWithOddStatusIsAnswered(t *testing.T) {
+func TestAnswerWithMalformedStatusIsAnswered(t *testing.T) {
 	for _, status := range []int{-1, 0, 99, 101, 204, 1000} {
 		w := httptest.NewRecorder()
 		writeAnswer(w, &wire.Answer{Status: status, Body: []byte("{}"), NotRun: true})
--- a/internal/entry/odd_test.go
+++ b/internal/entry/malformed_test.go
@@ -9,16 +9,16 @@
 
 	"github.com/damasklb/damasklb/internal/config"
 	"github.com/damasklb/damasklb/internal/configstore"
+	"github.com/damasklb/damasklb/internal/malformed"
 	"github.com/damasklb/damasklb/internal/membership"
-	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/pki"
 	"github.com/damasklb/damasklb/internal/platform"
 	"github.com/damasklb/damasklb/internal/platform/standin"
 )
 
-// oddRows are values that another writer may leave in a row.
-var oddRows = []string{
+// malformedRows are values that another writer may leave in a row.
+var malformedRows = []string{
 	"", "null", "[]", "{", `"x"`, `{"renewal":-1}`, `{"renewal":1e30}`, `{"renewal":"7"}`, `{"link_address":7}`,
 	strings.Repeat("[", 20_000), strings.Repeat(`{"a":`, 20_000),
 }
@@ -29,13 +29,13 @@
 	t.Helper()
 	d := membership.NewDetector()
 	d.SetMembers(0, []string{"e2"})
-	odd := oddrow.New(slog.New(slog.DiscardHandler))
+	invalid := malformed.New(slog.New(slog.DiscardHandler))
 	for read := range reads {
 		before(read)
 		now := membership.RemoveAfter + time.Duration(read)*time.Second
 		row, err := table.Get(t.Context(), membership.EntryKeyPrefix+"e2")
 		check(t, err)
-		d.RowRead(now, "e2", renewalOf(odd, row), true)
+		d.RowRead(now, "e2", renewalOf(invalid, row), true)
 		if len(d.Stopped(now)) > 0 {
 			return true
 		}
@@ -50,9 +50,9 @@
 }
 
 // Guards against a stopped entry that stays in the map for ever, with the keys of its
-// partitions, because its row is odd; and against the removal of one that still renews.
-func TestOddEntryRowShowsByItsVersionWhetherItIsRenewed(t *testing.T) {
-	for _, value := range oddRows {
+// partitions, because its row is malformed; and against the removal of one that still renews.
+func TestMalformedEntryRowShowsByItsVersionWhetherItIsRenewed(t *testing.T) {
+	for _, value := range malformedRows {
 		table := standin.NewMemory()
 		key := membership.EntryKeyPrefix + "e2"
 		writeRow(t, table, key, value)
@@ -73,7 +73,7 @@
 
 // Guards against the same in a running entry: the keys of the stopped one must be served
 // by the other.
-func TestStoppedEntryWithAnOddRowLeavesTheMap(t *testing.T) {
+func TestStoppedEntryWithAnMalformedRowLeavesTheMap(t *testing.T) {
 	table := standin.NewMemory()
 	content, err := config.Default().Encode()
 	check(t, err)
--- a/internal/entry/options_test.go
+++ b/internal/entry/options_test.go
@@ -12,7 +12,7 @@
 
 // Guards against an entry that publishes an address or id in the map with which no process
 // can link to it, or which makes all processes refuse the map.
-func TestOddOptionsAreRefused(t *testing.T) {
+func TestMalformedOptionsAreRefused(t *testing.T) {
 	sound := Options{ID: "e1-x", Host: "e1", DataCentre: "dc", LinkListen: "127.0.0.1:0", HTTPListen: "127.0.0.1:0"}
 	long := strings.Repeat("x", 64<<10)
 	for name, change := range map[string]func(o *Options){
@@ -43,8 +43,8 @@
 
 // Guards against a map that no process accepts any more, also not its writer.
 func TestEntryWritesNoMapThatItRefuses(t *testing.T) {
-	odd := membership.Next(nil, membership.Change{Add: []membership.Member{{ID: strings.Repeat("x", 64<<10)}}})
-	if _, err := mapWrite(odd); !errorx.IsOfType(err, fault.BadResponse) {
+	invalid := membership.Next(nil, membership.Change{Add: []membership.Member{{ID: strings.Repeat("x", 64<<10)}}})
+	if _, err := mapWrite(invalid); !errorx.IsOfType(err, fault.BadResponse) {
 		t.Errorf("error is %v", err)
 	}
 	sound := membership.Next(nil, membership.Change{Add: []membership.Member{{ID: "e1"}}})
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -8,8 +8,8 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/damasklb/damasklb/internal/fault"
+	"github.com/damasklb/damasklb/internal/malformed"
 	"github.com/damasklb/damasklb/internal/membership"
-	"github.com/damasklb/damasklb/internal/oddrow"
 	"github.com/damasklb/damasklb/internal/owner"
 	"github.com/damasklb/damasklb/internal/platform"
 )
@@ -22,8 +22,8 @@
 
 func isClosed(err error) bool { return errorx.IsOfType(err, fault.LinkClosed) }
 
-// OddMessage reports a message of a peer that cannot be read.
-func (e *Entry) OddMessage(peer string, err error) { e.odd.Check("message", peer, err) }
+// MalformedMessage reports a message of a peer that cannot be read.
+func (e *Entry) MalformedMessage(peer string, err error) { e.invalid.Check("message", peer, err) }
 
 func (e *Entry) tableContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(e.ctx, tableTimeout)
@@ -43,7 +43,7 @@
 		tableErrors("read_map").Inc()
 	default:
 		m, err := membership.Decode(row.Value)
-		e.odd.Check("map", membership.MapKey, err)
+		e.invalid.Check("map", membership.MapKey, err)
 		if err != nil {
 			return
 		}
@@ -60,7 +60,7 @@
 	defer e.readMap()
 	defer e.post(func(time.Duration) { e.core.CommitEnded() })
 	write, err := mapWrite(next)
-	e.odd.Check("proposed_map", membership.MapKey, err)
+	e.invalid.Check("proposed_map", membership.MapKey, err)
 	if err != nil {
 		return
 	}
@@ -104,21 +104,21 @@
 	}
 	renewal := uint64(0)
 	if found {
-		renewal = renewalOf(e.odd, row)
+		renewal = renewalOf(e.invalid, row)
 	}
 	e.post(func(now time.Duration) { e.core.EntryRowRead(now, id, renewal, found) })
 }
 
 // renewalOf returns a number that rises with each renewal of an entry's row. The version
-// of the row is such a number whatever its value, so an odd value neither keeps a stopped
+// of the row is such a number whatever its value, so a malformed value neither keeps a stopped
 // entry in the map nor removes one that renews its row.
-func renewalOf(odd *oddrow.Reporter, row platform.Row) uint64 {
+func renewalOf(invalid *malformed.Reporter, row platform.Row) uint64 {
 	var value entryRow
 	err := json.Unmarshal(row.Value, &value)
 	if err == nil && (value.ID == "" || membership.EntryKeyPrefix+value.ID != row.Key) {
 		err = fault.BadResponse.New("not the row of this entry")
 	}
-	odd.Check("entry", row.Key, err)
+	invalid.Check("entry", row.Key, err)
 	return row.Version
 }
 
@@ -194,7 +194,7 @@
 		if a.Unreadable {
 			err = fault.BadResponse.New("not the row of an agent of this host")
 		}
-		e.odd.Check("agent", row.Key, err)
+		e.invalid.Check("agent", row.Key, err)
 		agents = append(agents, a)
 	}
 	return agents
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -68,7 +68,7 @@
 	// unreadableList is set while the upstream's lists have rows that cannot be read.
 	unreadableList atomic.Bool
 	// The rows of other writers among those of entries, of operators and of runs.
-	oddHosts, oddOperator, oddRuns *oddRows
+	malformedHosts, malformedOperator, malformedRuns *malformedRows
 }
 
 // link is an open link to an entry.
@@ -91,18 +91,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		options: o, log: o.Log, ctx: ctx, cancel: cancel,
-		clockZero:     boottime.Now() - agentClockStart,
-		core:          runner.New(o.Runner),
-		links:         map[runner.EntryID]*link{},
-		dials:         map[string]*dial{},
-		plan:          linkplan.New(o.Process.Host, o.Process.DataCentre, o.Seeds),
-		startCalls:    map[wire.LeasedAttempt]*startCall{},
-		notify:        make(chan struct{}, 1),
-		announcements: newAnnouncementStore(o.Store, o.Process.Host, o.Log),
-		upstreamDep:   newDependency("upstream", o.Log),
-		oddHosts:      newOddRows(hostsTable, o.Log),
-		oddOperator:   newOddRows(operatorRows, o.Log),
-		oddRuns:       newOddRows("runs", o.Log),
+		clockZero:         boottime.Now() - agentClockStart,
+		core:              runner.New(o.Runner),
+		links:             map[runner.EntryID]*link{},
+		dials:             map[string]*dial{},
+		plan:              linkplan.New(o.Process.Host, o.Process.DataCentre, o.Seeds),
+		startCalls:        map[wire.LeasedAttempt]*startCall{},
+		notify:            make(chan struct{}, 1),
+		announcements:     newAnnouncementStore(o.Store, o.Process.Host, o.Log),
+		upstreamDep:       newDependency("upstream", o.Log),
+		malformedHosts:    newMalformedRows(hostsTable, o.Log),
+		malformedOperator: newMalformedRows(operatorRows, o.Log),
+		malformedRuns:     newMalformedRows("runs", o.Log),
 	}
 	a.core.SetToken(o.Token)
 	a.mu.Lock()
--- a/internal/leased/announcements.go
+++ b/internal/leased/announcements.go
@@ -166,7 +166,7 @@
 		s.adopt(r)
 		restore(r.announcement(), r.recentCrashes(time.Now()))
 	} else if version != 0 {
-		newOddRows(upstreamsTable, s.log).found(s.key, version, fault.Text(err))
+		newMalformedRows(upstreamsTable, s.log).found(s.key, version, fault.Text(err))
 	}
 	for {
 		select {
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -45,7 +45,7 @@
 	draining   atomic.Bool
 	questions  questionGate
 	// The rows of other writers among those of operators and upstreams.
-	oddOperator, oddUpstreams *oddRows
+	malformedOperator, malformedUpstreams *malformedRows
 
 	mu         sync.Mutex // guards the fields below
 	core       *broker.Broker
@@ -69,7 +69,7 @@
 		links:    map[broker.AgentID]*transport.TCPLink{},
 		requests: map[broker.Waiter]*request{},
 
-		oddOperator: newOddRows(operatorRows, o.Log), oddUpstreams: newOddRows(upstreamsTable, o.Log),
+		malformedOperator: newMalformedRows(operatorRows, o.Log), malformedUpstreams: newMalformedRows(upstreamsTable, o.Log),
 	}
 	o.Broker.CallerWaits = e.callerWaits
 	e.core = broker.New(o.Broker, rand.NewSource(rand.Int63()))
@@ -298,21 +298,21 @@
 }
 
 func (e *Entry) configChanged(u tableUpdate) {
-	e.oddOperator.retainUpdate(u)
+	e.malformedOperator.retainUpdate(u)
 	e.evacuationsChanged(u)
 	for _, r := range u.rows {
 		if _, err := rowName(r.Key, e.options.ConfigTable); err != nil {
-			e.oddOperator.found(r.Key, r.Version, fault.Text(err))
+			e.malformedOperator.found(r.Key, r.Version, fault.Text(err))
 		}
 		if r.Key != e.options.ConfigKey || r.Deleted {
 			continue
 		}
 		c, err := e.options.Decode(r.Value)
 		if err != nil {
-			e.oddOperator.found(r.Key, r.Version, "configuration: "+fault.Text(err))
+			e.malformedOperator.found(r.Key, r.Version, "configuration: "+fault.Text(err))
 			continue
 		}
-		e.oddOperator.valid(r.Key)
+		e.malformedOperator.valid(r.Key)
 		if old := e.catalog.Load(); old != nil && c.Version <= old.Version {
 			continue
 		}
@@ -323,10 +323,10 @@
 
 // upstreamsChanged handles the crashes in changed rows of the upstreams table.
 func (e *Entry) upstreamsChanged(u tableUpdate) {
-	e.oddUpstreams.retainUpdate(u)
+	e.malformedUpstreams.retainUpdate(u)
 	for _, r := range u.rows {
 		if r.Deleted {
-			e.oddUpstreams.valid(r.Key)
+			e.malformedUpstreams.valid(r.Key)
 			continue
 		}
 		host, err := rowName(r.Key, upstreamsTable)
@@ -335,10 +335,10 @@
 			row, err = decodeUpstreamRow(r.Value)
 		}
 		if err != nil {
-			e.oddUpstreams.found(r.Key, r.Version, fault.Text(err))
+			e.malformedUpstreams.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
-		e.oddUpstreams.valid(r.Key)
+		e.malformedUpstreams.valid(r.Key)
 		crashes := row.recentCrashes(time.Now())
 		if len(crashes) == 0 {
 			continue
--- a/internal/leased/evacuation.go
+++ b/internal/leased/evacuation.go
@@ -40,7 +40,7 @@
 
 // update returns what a store's answer says about evacuations. asOf is the time of the
 // call on the process's clock.
-func (o EvacuationOptions) update(u tableUpdate, asOf time.Duration, odd *oddRows) evacuation.Update {
+func (o EvacuationOptions) update(u tableUpdate, asOf time.Duration, invalid *malformedRows) evacuation.Update {
 	out := evacuation.Update{All: u.all, Version: u.version, AsOf: asOf}
 	for _, r := range u.rows {
 		dc, ok := strings.CutPrefix(r.Key, o.Prefix)
@@ -49,19 +49,19 @@
 		}
 		switch {
 		case r.Deleted:
-			odd.valid(r.Key)
+			invalid.valid(r.Key)
 		case !slices.Contains(o.DataCentres, dc):
-			if odd.found(r.Key, r.Version, "evacuation request for an unknown data centre") {
+			if invalid.found(r.Key, r.Version, "evacuation request for an unknown data centre") {
 				unknownEvacuations.Inc()
 			}
 		case !json.Valid(r.Value):
 			// The key alone names the data centre. Starting tasks against the operator's
 			// will is worse than evacuating a data centre for a damaged request.
-			if odd.found(r.Key, r.Version, "content of evacuation request is not valid; acting on its key") {
+			if invalid.found(r.Key, r.Version, "content of evacuation request is not valid; acting on its key") {
 				unreadableEvacuations.Inc()
 			}
 		default:
-			odd.valid(r.Key)
+			invalid.valid(r.Key)
 		}
 		if !slices.Contains(o.DataCentres, dc) {
 			continue
@@ -86,7 +86,7 @@
 		return
 	}
 	asOf := u.calledAt - e.clockZero
-	update := e.options.Evacuations.update(u, asOf, e.oddOperator)
+	update := e.options.Evacuations.update(u, asOf, e.malformedOperator)
 	e.withCore(func(now time.Duration, core *broker.Broker) { core.Evacuations(now, update) })
 }
 
@@ -109,7 +109,7 @@
 		return
 	}
 	a.log.Info("evacuation requests read from the store", "age_ms", q.Age.Milliseconds(), "version", u.version)
-	update := a.options.Evacuations.update(u, u.calledAt-a.clockZero, a.oddOperator)
+	update := a.options.Evacuations.update(u, u.calledAt-a.clockZero, a.malformedOperator)
 	a.withCore(func(now time.Duration, core *runner.Runner) { core.Evacuations(now, update) })
 }
 
--- a/internal/leased/evacuation_test.go
+++ b/internal/leased/evacuation_test.go
@@ -172,7 +172,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.Announce(a.now(), runner.Announcement{UpstreamID: runner.UpstreamID{ID: "u", StartMS: 7}, Service: "s", CPU: 1, Seq: 1})
-	a.core.Evacuations(a.now(), testEvacuations.update(tableUpdate{all: true, version: 1, rows: []platform.Change{}}, a.now(), a.oddOperator))
+	a.core.Evacuations(a.now(), testEvacuations.update(tableUpdate{all: true, version: 1, rows: []platform.Change{}}, a.now(), a.malformedOperator))
 	if rows, version, err := f.Snapshot(t.Context(), "op/evacuate/"); err != nil || len(rows) != 1 || version < 2 {
 		t.Fatalf("rows %v, version %d, error %v", rows, version, err)
 	}
--- a/internal/leased/links.go
+++ b/internal/leased/links.go
@@ -47,27 +47,27 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.oddHosts.retainUpdate(u)
+	a.malformedHosts.retainUpdate(u)
 	seen := map[string]bool{}
 	for _, r := range rows {
 		host, err := rowName(r.Key, hostsTable)
 		if err != nil {
-			a.oddHosts.found(r.Key, r.Version, fault.Text(err))
+			a.malformedHosts.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
 		seen[host] = true
 		if r.Deleted {
-			a.oddHosts.valid(r.Key)
+			a.malformedHosts.valid(r.Key)
 			a.removeEntry(host)
 			continue
 		}
 		row, err := decodeHostRow(r.Value)
 		if err != nil {
 			// The entry that wrote the row before may still be there.
-			a.oddHosts.found(r.Key, r.Version, fault.Text(err))
+			a.malformedHosts.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
-		a.oddHosts.valid(r.Key)
+		a.malformedHosts.valid(r.Key)
 		a.plan.Set(host, row.Address, row.DataCentre)
 		if !all {
 			a.redial(row.Address)
--- a/internal/leased/oddrows.go
+++ b/internal/leased/malformedrows.go
@@ -11,16 +11,16 @@
 const (
 	// operatorRows names the rows that operators write.
 	operatorRows = "operator"
-	// maxOddRows bounds the rows of a table that are remembered as not valid. Further ones are
+	// maxMalformedRows bounds the rows of a table that are remembered as not valid. Further ones are
 	// counted, but not logged.
-	maxOddRows = 256
+	maxMalformedRows = 256
 	// maxLoggedKey is the length to which keys are cut for the log.
 	maxLoggedKey = 200
 )
 
-// oddRows logs and counts the rows of a table that are not valid: each is logged once until it
+// malformedRows logs and counts the rows of a table that are not valid: each is logged once until it
 // is valid again or gone, and each of its versions is counted once.
-type oddRows struct {
+type malformedRows struct {
 	log     *slog.Logger
 	table   string
 	counter *metrics.Counter
@@ -30,13 +30,13 @@
 	versions map[string]uint64
 }
 
-func newOddRows(table string, log *slog.Logger) *oddRows {
-	return &oddRows{log: log, table: table, versions: map[string]uint64{},
+func newMalformedRows(table string, log *slog.Logger) *malformedRows {
+	return &malformedRows{log: log, table: table, versions: map[string]uint64{},
 		counter: metrics.GetOrCreateCounter(`damasklb_invalid_rows_total{table="` + table + `"}`)}
 }
 
 // found handles a row that is not valid, and reports whether this version of it is new.
-func (o *oddRows) found(key string, version uint64, reason string) bool {
+func (o *malformedRows) found(key string, version uint64, reason string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	last, known := o.versions[key]
@@ -44,7 +44,7 @@
 		return false
 	}
 	o.counter.Inc()
-	if !known && len(o.versions) >= maxOddRows {
+	if !known && len(o.versions) >= maxMalformedRows {
 		return true
 	}
 	o.versions[key] = version
@@ -55,14 +55,14 @@
 }
 
 // valid handles a row that is valid or gone.
-func (o *oddRows) valid(key string) {
+func (o *malformedRows) valid(key string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.versions, key)
 }
 
 // retain handles a read of the whole table: all rows but those with the given keys are gone.
-func (o *oddRows) retain(keys []string) {
+func (o *malformedRows) retain(keys []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for key := range o.versions {
@@ -73,7 +73,7 @@
 }
 
 // retainUpdate does the same for an update that holds the whole table.
-func (o *oddRows) retainUpdate(u tableUpdate) {
+func (o *malformedRows) retainUpdate(u tableUpdate) {
 	if !u.all {
 		return
 	}
--- a/internal/leased/oddrows_test.go
+++ b/internal/leased/malformedrows_test.go
@@ -16,13 +16,13 @@
 // nested returns a value with that many levels of arrays.
 func nested(levels int) string { return strings.Repeat("[", levels) + strings.Repeat("]", levels) }
 
-// oddValues are values that no program writes to any table.
-var oddValues = []string{
+// malformedValues are values that no program writes to any table.
+var malformedValues = []string{
 	"", "null", "7", `"x"`, "[]", "{", "\xff\xfe", nested(20_000), `{"address":` + nested(20_000) + `}`, strings.Repeat("x", 64<<10), `"` + strings.Repeat("x", 64<<10) + `"`,
 }
 
-// oddHostValues are values of the hosts table that name no address to dial.
-var oddHostValues = append(slices.Clone(oddValues),
+// malformedHostValues are values of the hosts table that name no address to dial.
+var malformedHostValues = append(slices.Clone(malformedValues),
 	`{}`, `{"address":""}`, `{"address":null}`, `{"address":7}`, `{"address":"10.0.0.1"}`, `{"address":"10.0.0.1:0"}`,
 	`{"address":"10.0.0.1:-1"}`, `{"address":"10.0.0.1:65536"}`, `{"address":"10.0.0.1:99999999999999999999"}`,
 	`{"address":"10.0.0.1:x"}`, `{"address":"0.0.0.0:80"}`, `{"address":"224.0.0.1:80"}`, `{"address":"[::]:80"}`, `{"address":"nowhere:80"}`,
@@ -59,35 +59,35 @@
 	return strings.Count(l.text.String(), text)
 }
 
-// Guards against odd host rows that take the places of links to entries, remove an entry that
+// Guards against malformed host rows that take the places of links to entries, remove an entry that
 // is there, or are logged with each read.
-func TestOddHostRowsTakeNoLinks(t *testing.T) {
+func TestMalformedHostRowsTakeNoLinks(t *testing.T) {
 	var log logBuffer
 	a := quietAgent(t, &log)
 	const sound = `{"address":"127.0.0.1:1","data_centre":"dc","incarnation":"2"}`
-	for i, value := range oddHostValues {
-		odd := change(fmt.Sprintf("hosts/odd%d,", i), value, uint64(i+2))
+	for i, value := range malformedHostValues {
+		invalid := change(fmt.Sprintf("hosts/odd%d,", i), value, uint64(i+2))
 		for _, all := range []bool{true, true, false} {
-			a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", sound, 1), odd}, all: all})
+			a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", sound, 1), invalid}, all: all})
 		}
 		if hosts := plannedHosts(a); !slices.Equal(hosts, []string{"e1"}) {
 			t.Errorf("%.60q: entries %v", value, hosts)
 		}
-		if n := log.count("key=" + odd.Key); n != 1 {
+		if n := log.count("key=" + invalid.Key); n != 1 {
 			t.Errorf("%.60q: logged %d times", value, n)
 		}
 	}
-	before := a.oddHosts.counter.Get()
+	before := a.malformedHosts.counter.Get()
 	a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", "null", 100)}})
 	a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/e1", "null", 101)}})
-	if got := plannedHosts(a); !slices.Equal(got, []string{"e1"}) || log.count("key=hosts/e1") != 1 || a.oddHosts.counter.Get() != before+2 {
+	if got := plannedHosts(a); !slices.Equal(got, []string{"e1"}) || log.count("key=hosts/e1") != 1 || a.malformedHosts.counter.Get() != before+2 {
 		t.Errorf("entry whose row has been replaced: entries %v, %d log lines", got, log.count("key=hosts/e1"))
 	}
 	for _, key := range []string{"hosts/", "hosts", "other/e2", "hosts/" + strings.Repeat("h", 64<<10)} {
 		a.hostsChanged(tableUpdate{rows: []platform.Change{change(key, sound, 102)}})
 	}
 	if got := plannedHosts(a); !slices.Equal(got, []string{"e1"}) {
-		t.Errorf("entries %d after odd keys", len(got))
+		t.Errorf("entries %d after invalid keys", len(got))
 	}
 	a.hostsChanged(tableUpdate{rows: []platform.Change{change("hosts/odd3,", sound, 103)}})
 	if got := plannedHosts(a); !slices.Equal(got, []string{"e1", "odd3,"}) {
@@ -95,15 +95,15 @@
 	}
 }
 
-// Guards against more log lines and memory with each odd row of a table.
-func TestOddRowsAreBounded(t *testing.T) {
+// Guards against more log lines and memory with each malformed row of a table.
+func TestMalformedRowsAreBounded(t *testing.T) {
 	var text bytes.Buffer
-	o := newOddRows("test", slog.New(slog.NewTextHandler(&text, nil)))
-	for i := range 3 * maxOddRows {
+	o := newMalformedRows("test", slog.New(slog.NewTextHandler(&text, nil)))
+	for i := range 3 * maxMalformedRows {
 		o.found(fmt.Sprintf("test/%d", i), 1, strings.Repeat("r", 10))
 	}
-	if n := strings.Count(text.String(), "invalid row"); n != maxOddRows || len(o.versions) != maxOddRows {
-		t.Errorf("%d log lines and %d rows remembered, want %d", n, len(o.versions), maxOddRows)
+	if n := strings.Count(text.String(), "invalid row"); n != maxMalformedRows || len(o.versions) != maxMalformedRows {
+		t.Errorf("%d log lines and %d rows remembered, want %d", n, len(o.versions), maxMalformedRows)
 	}
 	o.retainUpdate(tableUpdate{all: true, rows: []platform.Change{change("test/3", "", 1)}})
 	if len(o.versions) != 1 {
@@ -113,7 +113,7 @@
 
 // FuzzHostRow checks that a host row gets an error or has an address that can be dialled.
 func FuzzHostRow(f *testing.F) {
-	for _, value := range oddHostValues {
+	for _, value := range malformedHostValues {
 		if len(value) < 1<<10 {
 			f.Add([]byte(value))
 		}
--- a/internal/leased/oddruns_test.go
+++ b/internal/leased/malformedruns_test.go
@@ -11,25 +11,25 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// oddListUpstream runs what it is told to, and answers each list request at once, with a row that
+// malformedListUpstream runs what it is told to, and answers each list request at once, with a row that
 // cannot be read.
-type oddListUpstream struct {
+type malformedListUpstream struct {
 	asked atomic.Int64
 	runs  atomic.Pointer[wire.LeasedAttempt]
 }
 
-func (u *oddListUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) runner.StartAnswer {
+func (u *malformedListUpstream) Start(_ context.Context, s runner.StartRun, _ uint64) runner.StartAnswer {
 	u.runs.Store(&s.Attempt)
 	return runner.StartAnswer{Outcome: runner.StartAccepted, ClockMS: 1000}
 }
 
-func (u *oddListUpstream) Stop(context.Context, runner.StopRun, uint64) (bool, int64, error) {
+func (u *malformedListUpstream) Stop(context.Context, runner.StopRun, uint64) (bool, int64, error) {
 	return true, 1000, nil
 }
 
-func (u *oddListUpstream) ListRuns(_ context.Context, _ runner.UpstreamID, p runner.ListRequest, _ uint64, _ time.Duration) (runner.RunList, error) {
+func (u *malformedListUpstream) ListRuns(_ context.Context, _ runner.UpstreamID, p runner.ListRequest, _ uint64, _ time.Duration) (runner.RunList, error) {
 	u.asked.Add(1)
-	l := runner.RunList{Request: p, ClockMS: 1000, StartMS: 7, OddRows: []string{"[null]"}}
+	l := runner.RunList{Request: p, ClockMS: 1000, StartMS: 7, MalformedRows: []string{"[null]"}}
 	if a := u.runs.Load(); a != nil {
 		l.Running = []wire.LeasedAttempt{*a}
 	}
@@ -40,7 +40,7 @@
 // acknowledged, answers each of them at once, and against a log line for each.
 func TestUnreadableEndDoesNotCauseListRequestsWithoutPause(t *testing.T) {
 	var log logBuffer
-	u := &oddListUpstream{}
+	u := &malformedListUpstream{}
 	a := StartAgent(AgentOptions{
 		Process: ProcessInfo{Host: "a1", Incarnation: "1", DataCentre: "dc"},
 		Runner:  runner.DefaultSettings(1300*time.Millisecond, time.Second), Store: &feed{},
--- a/internal/leased/oddtables_test.go
+++ b/internal/leased/malformedtables_test.go
@@ -16,8 +16,8 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// oddUpstreamValues are values of the upstreams table that no agent writes.
-var oddUpstreamValues = append(slices.Clone(oddValues),
+// malformedUpstreamValues are values of the upstreams table that no agent writes.
+var malformedUpstreamValues = append(slices.Clone(malformedValues),
 	`{}`, `{"id":"u","born":1}`, `{"id":"u","born":-1,"service":"s","cpu":1}`, `{"id":"u","born":1,"service":"s","cpu":-1}`,
 	`{"id":"u","born":1,"service":"s","cpu":9223372036854775807}`, `{"id":"u","born":1,"service":"s","cpu":1e40}`,
 	`{"id":"u","born":1,"service":"s","mem_mb":-1}`, `{"id":"u","born":1,"service":"s","labels":7}`,
@@ -27,8 +27,8 @@
 
 // Guards against a row that ends the agent, or makes it start tasks on a capacity that its
 // upstream does not have, after its restart.
-func TestRestartedAgentIgnoresOddRow(t *testing.T) {
-	for _, value := range oddUpstreamValues {
+func TestRestartedAgentIgnoresMalformedRow(t *testing.T) {
+	for _, value := range malformedUpstreamValues {
 		f := &feed{committed: map[string]platform.Row{"upstreams/a1": {Key: "upstreams/a1", Value: []byte(value), Version: 9}}}
 		var log logBuffer
 		a := StartAgent(AgentOptions{
@@ -52,12 +52,12 @@
 
 // Guards against a row of another writer that hides the crashes in others, and against sums
 // or sizes that overflow.
-func TestOddUpstreamRowsHideNoCrash(t *testing.T) {
+func TestMalformedUpstreamRowsHideNoCrash(t *testing.T) {
 	var log logBuffer
 	e := &Entry{log: slog.New(slog.NewTextHandler(&log, nil)), core: broker.New(broker.DefaultSettings("dc", time.Second), rand.NewSource(1))}
-	e.oddUpstreams = newOddRows(upstreamsTable, e.log)
+	e.malformedUpstreams = newMalformedRows(upstreamsTable, e.log)
 	var u tableUpdate
-	for i, value := range oddUpstreamValues {
+	for i, value := range malformedUpstreamValues {
 		u.rows = append(u.rows, change(fmt.Sprintf("upstreams/a%d,", i), value, 1))
 	}
 	for _, at := range []int64{-1 << 63, 1<<63 - 1, 0} {
@@ -70,20 +70,20 @@
 	if n := log.count("upstream crashed"); n != 1 {
 		t.Errorf("%d crashes, want 1", n)
 	}
-	if n := log.count("invalid row"); n != len(oddUpstreamValues)+2 {
-		t.Errorf("%d rows logged, want %d", n, len(oddUpstreamValues)+2)
+	if n := log.count("invalid row"); n != len(malformedUpstreamValues)+2 {
+		t.Errorf("%d rows logged, want %d", n, len(malformedUpstreamValues)+2)
 	}
 }
 
 // Guards against requests that are logged and counted with each read of the store.
-func TestOddEvacuationRequestsAreLoggedOnce(t *testing.T) {
+func TestMalformedEvacuationRequestsAreLoggedOnce(t *testing.T) {
 	var log logBuffer
-	odd := newOddRows(operatorRows, slog.New(slog.NewTextHandler(&log, nil)))
+	invalid := newMalformedRows(operatorRows, slog.New(slog.NewTextHandler(&log, nil)))
 	unknown, unreadable := unknownEvacuations.Get(), unreadableEvacuations.Get()
 	u := tableUpdate{all: true, version: 9, rows: []platform.Change{change("op/evacuate/nowhere", "{}", 3), change("op/evacuate/dc", nested(20_000), 4),
 		change("op/evacuate/", "{}", 5), change("op/", "", 6), change("op/evacuate/"+strings.Repeat("d", 64<<10), "{}", 7), change("op/evacuate/dc2", "", 8)}}
 	for range 3 {
-		if got := testEvacuations.update(u, 0, odd); len(got.Changes) != 2 || got.Changes[0].DataCentre != "dc" || got.Changes[1].DataCentre != "dc2" {
+		if got := testEvacuations.update(u, 0, invalid); len(got.Changes) != 2 || got.Changes[0].DataCentre != "dc" || got.Changes[1].DataCentre != "dc2" {
 			t.Errorf("changes %+v", got.Changes)
 		}
 	}
@@ -96,7 +96,7 @@
 func TestRowsWithoutKeyAreLogged(t *testing.T) {
 	var log logBuffer
 	e := &Entry{log: slog.New(slog.NewTextHandler(&log, nil)), options: EntryOptions{ConfigTable: "op", ConfigKey: "op/config"}}
-	e.oddOperator = newOddRows(operatorRows, e.log)
+	e.malformedOperator = newMalformedRows(operatorRows, e.log)
 	for range 3 {
 		e.configChanged(tableUpdate{rows: []platform.Change{change("op/", "", 3), change("op/wave/1", "{}", 4)}})
 	}
@@ -107,7 +107,7 @@
 
 // FuzzUpstreamRow checks that a row of an upstream gets an error or is within its bounds.
 func FuzzUpstreamRow(f *testing.F) {
-	for _, value := range oddUpstreamValues {
+	for _, value := range malformedUpstreamValues {
 		if len(value) < 1<<10 {
 			f.Add([]byte(value))
 		}
--- a/internal/leased/otherwriters_test.go
+++ b/internal/leased/otherwriters_test.go
@@ -122,10 +122,10 @@
 	})
 }
 
-// writeOddRows writes the rows of another writer, and returns their keys by table.
-func (w writersTest) writeOddRows() (keys map[string][]string) {
+// writeMalformedRows writes the rows of another writer, and returns their keys by table.
+func (w writersTest) writeMalformedRows() (keys map[string][]string) {
 	keys = map[string][]string{}
-	for table, values := range map[string][]string{hostsTable: oddHostValues, upstreamsTable: oddUpstreamValues, timeoutsTable: oddValues} {
+	for table, values := range map[string][]string{hostsTable: malformedHostValues, upstreamsTable: malformedUpstreamValues, timeoutsTable: malformedValues} {
 		for i, value := range values {
 			key := fmt.Sprintf("%s/odd%d", table, i)
 			w.table.put(w.T, key, value)
@@ -157,7 +157,7 @@
 	w.table.put(t, "op/config", "1")
 	w.table.put(t, "hosts/e3", `{"address":"127.0.0.1:99999"}`)
 	w.table.put(t, "upstreams/a1", `{"id":"u","born":7,"service":"s","cpu":-1}`)
-	keys := w.writeOddRows()
+	keys := w.writeMalformedRows()
 
 	upstreams := [2]*instantUpstream{{}, {}}
 	e1, log1 := w.entry("e1", "1", "127.0.0.1:24741")
@@ -177,8 +177,8 @@
 	var writer sync.WaitGroup
 	writer.Go(func() {
 		for i := 0; done.Err() == nil; i++ {
-			w.table.put(t, "hosts/e2", oddHostValues[i%len(oddHostValues)])
-			w.table.put(t, keys[upstreamsTable][i%len(oddUpstreamValues)], oddUpstreamValues[i%len(oddUpstreamValues)])
+			w.table.put(t, "hosts/e2", malformedHostValues[i%len(malformedHostValues)])
+			w.table.put(t, keys[upstreamsTable][i%len(malformedUpstreamValues)], malformedUpstreamValues[i%len(malformedUpstreamValues)])
 			w.table.put(t, keys["op"][0], nested(i))
 			sleep(done, 20*time.Millisecond)
 		}
--- a/internal/leased/timeouts.go
+++ b/internal/leased/timeouts.go
@@ -90,11 +90,11 @@
 // timeoutsRead restores what the entries had learned. A row that cannot be read is left out.
 func (e *Entry) timeoutsRead(u tableUpdate) {
 	var learned []map[string]time.Duration
-	odd := newOddRows(timeoutsTable, e.log)
+	invalid := newMalformedRows(timeoutsTable, e.log)
 	for _, r := range u.rows {
 		l, err := decodeTimeoutsRow(r.Value)
 		if err != nil {
-			odd.found(r.Key, r.Version, fault.Text(err))
+			invalid.found(r.Key, r.Version, fault.Text(err))
 			continue
 		}
 		if learned = append(learned, l); len(learned) == maxTimeoutRows {
--- a/internal/leased/timeouts_test.go
+++ b/internal/leased/timeouts_test.go
@@ -42,11 +42,11 @@
 }
 
 // Guards against rows of other writers that take the places of those of entries.
-func TestOddTimeoutRowsTakeNoPlaces(t *testing.T) {
+func TestMalformedTimeoutRowsTakeNoPlaces(t *testing.T) {
 	e := &Entry{log: slog.New(slog.NewTextHandler(io.Discard, nil)), core: broker.New(broker.DefaultSettings("dc", time.Second), rand.NewSource(1))}
 	var u tableUpdate
 	for i := range 2 * maxTimeoutRows {
-		u.rows = append(u.rows, change(fmt.Sprintf("timeouts/a%d", i), oddValues[i%len(oddValues)], 1))
+		u.rows = append(u.rows, change(fmt.Sprintf("timeouts/a%d", i), malformedValues[i%len(malformedValues)], 1))
 	}
 	for i := range 2 {
 		u.rows = append(u.rows, change(fmt.Sprintf("timeouts/z%d", i), `{"usual_ms":{"q":2000,"long":9223372036854775807,"none":-5}}`, 1))
@@ -59,7 +59,7 @@
 
 // FuzzTimeoutsRow checks that a row of usual timeouts gets an error or has times that can be used.
 func FuzzTimeoutsRow(f *testing.F) {
-	for _, value := range append(slices.Clone(oddValues), `{"usual_ms":{"q":2000}}`, `{"usual_ms":{"q":-1,"r":9223372036854775807}}`, `{"usual_ms":7}`) {
+	for _, value := range append(slices.Clone(malformedValues), `{"usual_ms":{"q":2000}}`, `{"usual_ms":{"q":-1,"r":9223372036854775807}}`, `{"usual_ms":7}`) {
 		if len(value) < 1<<10 {
 			f.Add([]byte(value))
 		}
--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -146,7 +146,7 @@
 	a.upstreamDep.observe(err)
 	if err == nil {
 		a.listFailures.Store(0)
-		a.reportOddRuns(answer.OddRows)
+		a.reportMalformedRuns(answer.MalformedRows)
 	} else {
 		a.listFailures.Add(1)
 	}
@@ -166,11 +166,11 @@
 	})
 }
 
-// reportOddRuns logs and counts the rows of a list that cannot be read.
-func (a *Agent) reportOddRuns(rows []string) {
+// reportMalformedRuns logs and counts the rows of a list that cannot be read.
+func (a *Agent) reportMalformedRuns(rows []string) {
 	a.unreadableList.Store(len(rows) > 0)
-	a.oddRuns.retain(rows)
+	a.malformedRuns.retain(rows)
 	for _, row := range rows {
-		a.oddRuns.found(row, 0, "row of a list of runs cannot be read")
+		a.malformedRuns.found(row, 0, "row of a list of runs cannot be read")
 	}
 }
--- a/internal/oddrow/oddrow.go
+++ b/internal/malformed/malformed.go
@@ -1,6 +1,6 @@
-// Package oddrow reports rows and messages that cannot be read: each is counted once
+// Package malformed reports rows and messages that cannot be read: each is counted once
 // and logged once with its key, until it can be read again.
-package oddrow
+package malformed
 
 import (
 	"log/slog"
@@ -39,7 +39,7 @@
 		delete(r.reported, id)
 		r.log.Info("row can be read again", "kind", kind, "key", key)
 	case err != nil && !r.reported[id]:
-		metrics.GetOrCreateCounter(`damasklb_odd_rows_total{kind="` + kind + `"}`).Inc()
+		metrics.GetOrCreateCounter(`damasklb_malformed_rows_total{kind="` + kind + `"}`).Inc()
 		if len(r.reported) < maxKeys {
 			r.reported[id] = true
 			r.log.Warn("row cannot be read", "kind", kind, "key", key, "error", err)
--- a/internal/oddrow/oddrow_test.go
+++ b/internal/malformed/malformed_test.go
@@ -1,4 +1,4 @@
-package oddrow
+package malformed
 
 import (
 	"bytes"
@@ -9,14 +9,14 @@
 	"github.com/damasklb/damasklb/internal/fault"
 )
 
-// Guards against a log line on every read of an odd row, against a row that turns odd
+// Guards against a log line on every read of a malformed row, against a row that turns malformed
 // again unnoticed, and against a key that fills the log.
-func TestOddRowIsLoggedOnceUntilItIsSound(t *testing.T) {
+func TestMalformedRowIsLoggedOnceUntilItIsSound(t *testing.T) {
 	var out bytes.Buffer
 	r := New(slog.New(slog.NewJSONHandler(&out, nil)))
-	odd := fault.BadResponse.New("odd")
+	invalid := fault.BadResponse.New("odd")
 	key := "agent/" + strings.Repeat("x", 64<<10)
-	for _, err := range []error{nil, odd, odd, odd, nil, nil, odd} {
+	for _, err := range []error{nil, invalid, invalid, invalid, nil, nil, invalid} {
 		r.Check("agent", key, err)
 	}
 	if n := strings.Count(out.String(), "cannot be read"); n != 2 {
--- a/internal/membership/oddmap_test.go
+++ b/internal/membership/malformedmap_test.go
@@ -12,10 +12,10 @@
 	"github.com/damasklb/damasklb/internal/fault"
 )
 
-// oddMaps are rows that another writer may leave in place of the map.
-func oddMaps(t *testing.T) map[string]string {
+// malformedMaps are rows that another writer may leave in place of the map.
+func malformedMaps(t *testing.T) map[string]string {
 	t.Helper()
-	odd := map[string]string{
+	invalid := map[string]string{
 		"null": "null", "object": "{}", "list": "[]", "no partitions": `{"version":9,"members":[{"id":"a"}]}`,
 		"no members and partitions": `{"version":9}`, "negative": `{"version":-1}`, "large": `{"version":1e30}`,
 		"deep": strings.Repeat(`{"members":`, 20_000), "wrong type": `{"version":"9"}`,
@@ -28,7 +28,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		odd[name] = string(text)
+		invalid[name] = string(text)
 	}
 	change("no version", func(m *Map) { m.Version = 0 })
 	change("last version", func(m *Map) { m.Version = math.MaxUint64 })
@@ -43,14 +43,14 @@
 	change("member without id", func(m *Map) { m.Members = append([]Member{{}}, m.Members...) })
 	change("member twice", func(m *Map) { m.Members = append([]Member{m.Members[0]}, m.Members...) })
 	change("long id", func(m *Map) { m.Members = append([]Member{{ID: strings.Repeat("x", 64<<10)}}, m.Members...) })
-	return odd
+	return invalid
 }
 
-// Guards against an odd map row that passes for a new installation, for one whose
+// Guards against a malformed map row that passes for a new installation, for one whose
 // partitions never had an owner, or for epochs that no owner has: tasks would start
 // twice, or never again.
-func TestDecodeRefusesOddMaps(t *testing.T) {
-	for name, row := range oddMaps(t) {
+func TestDecodeRefusesMalformedMaps(t *testing.T) {
+	for name, row := range malformedMaps(t) {
 		if _, err := Decode([]byte(row)); !errorx.IsOfType(err, fault.BadResponse) {
 			t.Errorf("%s: error is %v", name, err)
 		}
--- a/internal/owner/oddmessage_test.go
+++ b/internal/owner/malformedmessage_test.go
@@ -46,8 +46,8 @@
 	c.Receive(0, "w2", &wire.UpstreamUp{Upstream: "s", Site: "x", Classes: []string{"c"}, Slots: 2, Credit: wire.Credit{Upstream: "s", Count: 2, TTLMS: 20_000}})
 	c.AgentsListed(0, takeover, []AgentRow{{Host: "w1", Incarnation: "i1"}, {Host: "w2", Incarnation: "i2"}})
 	s := ownedJob(c)
-	odd := wire.TaskRecord{Task: wire.TaskID{Job: s.Job, Index: 500}, Attempt: 1, State: wire.TaskDone, Digest: s.Digest}
-	c.Receive(0, "w2", &wire.FenceReply{ID: takeover, Serial: 1, Last: true, TaskRecords: []wire.TaskRecord{odd}})
+	invalid := wire.TaskRecord{Task: wire.TaskID{Job: s.Job, Index: 500}, Attempt: 1, State: wire.TaskDone, Digest: s.Digest}
+	c.Receive(0, "w2", &wire.FenceReply{ID: takeover, Serial: 1, Last: true, TaskRecords: []wire.TaskRecord{invalid}})
 	c.Submit(0, 1, s)
 	for _, effect := range c.TakeEffects() {
 		if send, ok := effect.(Send); ok {
--- a/internal/owner/oddrow_test.go
+++ b/internal/owner/malformedrow_test.go
@@ -11,8 +11,8 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// oddValues are values that another writer may leave in a row.
-var oddValues = map[string]string{
+// malformedValues are values that another writer may leave in a row.
+var malformedValues = map[string]string{
 	"empty": "", "null": "null", "list": "[]", "string": `"w1"`, "object": "{}", "cut": `{"host":`,
 	"wrong type": `{"host":7,"incarnation":"i"}`, "negative": `{"host":"w1","incarnation":-1}`,
 	"large number": `{"host":"w1","incarnation":1e999}`, "left of wrong type": `{"host":"w1","incarnation":"i","left":"yes"}`,
@@ -40,9 +40,9 @@
 }
 
 // Guards against a takeover that starts tasks again because the row of a running agent
-// is odd: it would pass for a host without an agent.
-func TestOddAgentRowDoesNotCompleteATakeover(t *testing.T) {
-	for name, value := range oddValues {
+// is invalid: it would pass for a host without an agent.
+func TestMalformedAgentRowDoesNotCompleteATakeover(t *testing.T) {
+	for name, value := range malformedValues {
 		c, takeover := takeoverCore(t)
 		sound := `{"host":"w2","incarnation":"i2"}`
 		rows := []AgentRow{DecodeAgentRow(AgentKeyPrefix+"w1", []byte(value)), DecodeAgentRow(AgentKeyPrefix+"w2", []byte(sound))}
@@ -61,10 +61,10 @@
 	}
 }
 
-// Guards against the deletion of an odd row of a running agent, after which no takeover
+// Guards against the deletion of a malformed row of a running agent, after which no takeover
 // asks that agent for its task records.
-func TestOddAgentRowIsNotDeletedAsLeft(t *testing.T) {
-	for name, value := range oddValues {
+func TestMalformedAgentRowIsNotDeletedAsLeft(t *testing.T) {
+	for name, value := range malformedValues {
 		c, _ := takeoverCore(t)
 		row := DecodeAgentRow(AgentKeyPrefix+"w1", []byte(value))
 		for now := time.Duration(0); now < 2*c.uncertaintyWindow(false); now += 10 * time.Second {
@@ -78,7 +78,7 @@
 	}
 }
 
-// Guards against a takeover that never ends because a row was odd when it began and
+// Guards against a takeover that never ends because a row was malformed when it began and
 // sound later.
 func TestTakeoverReadsARepairedAgentRow(t *testing.T) {
 	c, takeover := takeoverCore(t)
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -19,9 +19,9 @@
 	return NewHTTPTable(service.URL, nil)
 }
 
-// Guards against an odd answer that passes for a table without rows, or for another row: a
+// Guards against a malformed answer that passes for a table without rows, or for another row: a
 // takeover would take it for a site without agents.
-func TestOddAnswersAreNotEmptyTables(t *testing.T) {
+func TestMalformedAnswersAreNotEmptyTables(t *testing.T) {
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	for _, body := range []string{"", "null", "{}", `"x"`, "[null]", "[7]", "[{}]", deep, `[{"key":"entry/x"}]`, `[{"key":7}]`} {
 		if rows, err := tableThatAnswers(t, body).List(t.Context(), "agent/"); !errorx.IsOfType(err, fault.BadResponse) {
@@ -35,13 +35,13 @@
 	}
 }
 
-// Guards against one odd row that hides the others of an answer.
-func TestOddRowOfAListKeepsItsKey(t *testing.T) {
-	for _, odd := range []string{`"version":-1`, `"version":1e30`, `"version":"1"`, `"value":"%"`, `"value":7`, `"value":{"a":[[]]}`} {
-		body := `[{"key":"agent/a","value":"e30=","version":1},{"key":"agent/b",` + odd + `},{"key":"agent/c","value":"e30=","version":3}]`
+// Guards against one malformed row that hides the others of an answer.
+func TestMalformedRowOfAListKeepsItsKey(t *testing.T) {
+	for _, invalid := range []string{`"version":-1`, `"version":1e30`, `"version":"1"`, `"value":"%"`, `"value":7`, `"value":{"a":[[]]}`} {
+		body := `[{"key":"agent/a","value":"e30=","version":1},{"key":"agent/b",` + invalid + `},{"key":"agent/c","value":"e30=","version":3}]`
 		rows, err := tableThatAnswers(t, body).List(t.Context(), "agent/")
 		if err != nil || len(rows) != 3 || rows[1].Key != "agent/b" || rows[1].Value != nil || string(rows[2].Value) != "{}" {
-			t.Errorf("%s: rows %+v, error %v", odd, rows, err)
+			t.Errorf("%s: rows %+v, error %v", invalid, rows, err)
 		}
 	}
 	if rows, err := tableThatAnswers(t, "[]").List(t.Context(), "agent/"); err != nil || len(rows) != 0 {
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -167,8 +167,8 @@
 	// UnreadableTasks are the tasks of those without a readable run number.
 	UnreadableRows  int
 	UnreadableTasks []wire.LeasedTask
-	// OddRows are the texts of all rows that cannot be read, for the log.
-	OddRows []string
+	// MalformedRows are the texts of all rows that cannot be read, for the log.
+	MalformedRows []string
 }
 
 // mayHide reports whether a row that cannot be read may be a run of the task.
--- a/internal/transport/diallers_test.go
+++ b/internal/transport/diallers_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// Guards against a peer that is never dialled again because its address was odd in an
+// Guards against a peer that is never dialled again because its address was malformed in an
 // earlier map.
 func TestPeerIsDialledAtItsRepairedAddress(t *testing.T) {
 	var dialled []string
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -57,9 +57,9 @@
 // monotonic: they do not follow changes of the wall clock.
 var processStart = time.Now()
 
-// oddMessageHandler is a Handler that is told of messages that cannot be read.
-type oddMessageHandler interface {
-	OddMessage(peer string, err error)
+// malformedMessageHandler is a Handler that is told of messages that cannot be read.
+type malformedMessageHandler interface {
+	MalformedMessage(peer string, err error)
 }
 
 // skip reports an unreadable message and returns whether the link stays open: a newer
@@ -69,8 +69,8 @@
 	if !errorx.IsOfType(err, fault.BadMessage) && !errorx.IsOfType(err, fault.TooLarge) {
 		return false
 	}
-	if h, ok := l.handler.(oddMessageHandler); ok {
-		h.OddMessage(l.Peer.ID, err)
+	if h, ok := l.handler.(malformedMessageHandler); ok {
+		h.MalformedMessage(l.Peer.ID, err)
 	}
 	return errorx.IsOfType(err, fault.UnknownKind)
 }
--- a/internal/transport/odd_test.go
+++ b/internal/transport/malformed_test.go
@@ -9,16 +9,16 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// messageHandler is a recordingHandler that counts Wants, odd messages and ended links.
+// messageHandler is a recordingHandler that counts Wants, malformed messages and ended links.
 type messageHandler struct {
 	recordingHandler
-	wants, odd, down atomic.Int64
-	link             atomic.Pointer[Link]
+	wants, invalid, down atomic.Int64
+	link                 atomic.Pointer[Link]
 }
 
-func (h *messageHandler) LinkUp(l *Link)           { h.link.Store(l) }
-func (h *messageHandler) LinkDown(*Link)           { h.down.Add(1) }
-func (h *messageHandler) OddMessage(string, error) { h.odd.Add(1) }
+func (h *messageHandler) LinkUp(l *Link)                 { h.link.Store(l) }
+func (h *messageHandler) LinkDown(*Link)                 { h.down.Add(1) }
+func (h *messageHandler) MalformedMessage(string, error) { h.invalid.Add(1) }
 func (h *messageHandler) Receive(_ *Link, m wire.Message, _ time.Time) {
 	if _, ok := m.(*wire.Want); ok {
 		h.wants.Add(1)
@@ -65,9 +65,9 @@
 	if err := from.link.Load().Send(&wire.Want{Upstream: "s"}); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "message after the odd one", func() bool { return to.wants.Load() == 1 })
-	if to.down.Load() != 0 || to.odd.Load() != 1 {
-		t.Errorf("%d links ended, %d odd messages", to.down.Load(), to.odd.Load())
+	eventually(t, "message after the invalid one", func() bool { return to.wants.Load() == 1 })
+	if to.down.Load() != 0 || to.invalid.Load() != 1 {
+		t.Errorf("%d links ended, %d invalid messages", to.down.Load(), to.invalid.Load())
 	}
 }
 
@@ -77,8 +77,8 @@
 	from, to := linked(t)
 	from.link.Load().queue.add([]byte{8, 0, 0, 0, 1, 0xff})
 	eventually(t, "end of the link", func() bool { return to.down.Load() > 0 })
-	if to.odd.Load() != 1 {
-		t.Errorf("%d odd messages", to.odd.Load())
+	if to.invalid.Load() != 1 {
+		t.Errorf("%d invalid messages", to.invalid.Load())
 	}
 }
 
