Review case 1, from an entry: a cut entry starts jobs again that run elsewhere

Cause: after a cut an entry starts tasks again as soon as its agents have linked, while the close of a caller that has left is still on its way. Change: a script that cuts an entry off for 2 s, with relays for its links and callers. Case 2 runs longer tasks at less load, so that more runs last at the cut.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/reviewcase ] || { echo "run review/build.sh first"; exit 2; }
-exec target/reviewcase twice review/1/record.txt
+exec target/reviewcase cut review/1/record.txt
--- a/review/reviewcase/deployment.go
+++ b/review/reviewcase/deployment.go
@@ -20,7 +20,7 @@
 	// readyTimeout bounds the wait for the programs at the start.
 	readyTimeout = 15 * time.Second
 	// storePort and the others are the ports of the addresses in the settings.
-	frontPort, controlPort, readyPort, appPort, workerPort, storePort = 8161, 8166, 8167, 8165, 8175, 8169
+	frontPort, controlPort, readyPort, appPort, workerPort, storePort, linkPort = 8161, 8166, 8167, 8165, 8175, 8169, 7720
 	// loopbackNet is the first part of all addresses.
 	loopbackNet = 127
 )
@@ -105,6 +105,8 @@
 	workers []kind
 	// requestTimeout is the time of the queue's route.
 	requestTimeout time.Duration
+	// relayLinks puts a relay between the agents and each entry.
+	relayLinks bool
 }
 
 // deployment is a small deployment: its programs, the store, and a worker behind a relay beside
@@ -120,8 +122,10 @@
 	agents  []*process
 	workers []*worker
 	relays  []*relay
-	stop    chan struct{}
-	servers []*http.Server
+	// linkRelays are the relays between the agents and each entry, if there are any.
+	linkRelays []*relay
+	stop       chan struct{}
+	servers    []*http.Server
 
 	wg sync.WaitGroup
 }
@@ -135,6 +139,7 @@
 	groupEntry = iota + 1
 	groupAgent
 	groupPlatform
+	groupLinkRelay
 )
 
 // freeSubnet returns a part of the loopback network whose addresses are free.
@@ -162,6 +167,11 @@
 	if err := d.serve(fmt.Sprintf("%s:%d", d.ip(groupPlatform, 0), storePort), d.store); err != nil {
 		return d, err
 	}
+	if o.relayLinks {
+		if err := d.addLinkRelays(); err != nil {
+			return d, err
+		}
+	}
 	for i := range o.entries {
 		d.entries = append(d.entries, d.process(fmt.Sprintf("front-%d", i+1), "entry", d.ip(groupEntry, i), true))
 	}
@@ -182,6 +192,36 @@
 	return d, d.start()
 }
 
+// addLinkRelays opens a relay for the links to each entry, and makes the store name its address in
+// place of the entry's.
+func (d *deployment) addLinkRelays() error {
+	for i := range d.options.entries {
+		r, err := newRelay(fmt.Sprintf("%s:%d", d.ip(groupLinkRelay, i), linkPort), fmt.Sprintf("%s:%d", d.ip(groupEntry, i), linkPort))
+		if err != nil {
+			return err
+		}
+		d.linkRelays = append(d.linkRelays, r)
+	}
+	d.store.rewrite = func(table string, value []byte) []byte {
+		text := string(value)
+		for i := range d.linkRelays {
+			if table == "hosts" {
+				text = strings.ReplaceAll(text, fmt.Sprintf("%s:%d", d.ip(groupEntry, i), linkPort), d.linkRelays[i].address)
+			}
+		}
+		return []byte(text)
+	}
+	return nil
+}
+
+// seed returns the address of the first entry for agents.
+func (d *deployment) seed() string {
+	if d.relayLinks {
+		return fmt.Sprintf("%s:%d", d.ip(groupLinkRelay, 0), controlPort)
+	}
+	return fmt.Sprintf("%s:%d", d.ip(groupEntry, 0), controlPort)
+}
+
 func (d *deployment) start() error {
 	for _, p := range append(append([]*process{}, d.entries...), d.agents...) {
 		if err := p.start(); err != nil {
@@ -272,8 +312,8 @@
 	}
 	lines := []string{
 		"node_name=" + name, "role=" + role, "machine_class=" + class, "ip=" + ip, "zone=z-1", "region=r-1", "zones.z-1=r-1",
-		fmt.Sprintf("listen.control=%s:%d", ip, controlPort), "internal_ports=7720,7735",
-		fmt.Sprintf("seeds=%s:%d", d.ip(groupEntry, 0), controlPort), "bootstrap=true", "loss_counts=false",
+		fmt.Sprintf("listen.control=%s:%d", ip, controlPort), fmt.Sprintf("internal_ports=%d,%d", linkPort, linkPort+15),
+		"seeds=" + d.seed(), "bootstrap=true", "loss_counts=false",
 		"limits.cpu_share=" + share, "limits.cores=1", "limits.memory_mb=" + memory, "limits.max_fds=4096", "limits.link_mbps=1000.0", "limits.disk_mb=0",
 		"discovery=local", "entry=vip", "heartbeat_ms=1500", "contracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing",
 		"fault_tolerance.machines=2", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.drain_ms=2000", "bounds.grace_s=6",
--- a/review/reviewcase/relay.go
+++ b/review/reviewcase/relay.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -67,6 +68,26 @@
 	r.silent = true
 }
 
+// minRetransmit is the time after which TCP sends a lost segment again. It doubles with each loss.
+const minRetransmit = 200 * time.Millisecond
+
+// nextRetransmit returns when a segment that was first sent at a time is sent again, now or later.
+func nextRetransmit(sent, now time.Time) time.Time {
+	at := sent
+	for wait := minRetransmit; at.Before(now); wait *= 2 {
+		at = at.Add(wait)
+	}
+	return at
+}
+
+// end ends a silent cut and keeps the connections. A close that was held up follows with its
+// next retransmission.
+func (r *relay) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = false
+}
+
 // heal ends a cut. Connections from before it are reset.
 func (r *relay) heal() error {
 	r.mu.Lock()
@@ -116,11 +137,10 @@
 		return
 	}
 	defer from.Close()
-	for r.isSilent() {
-		time.Sleep(time.Millisecond)
-		if !r.has(from) {
-			return
-		}
+	if r.isSilent() {
+		// The first packet is lost. The other side gives the connection up before TCP sends it again.
+		_, _ = io.Copy(io.Discard, from)
+		return
 	}
 	to, err := net.DialTimeout("tcp", r.target, time.Second)
 	if err != nil {
@@ -151,9 +171,14 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		readAt, held := time.Now(), false
 		for r.isSilent() && r.has(from) {
+			held = true
 			time.Sleep(time.Millisecond)
 		}
+		if held {
+			time.Sleep(time.Until(nextRetransmit(readAt, time.Now())))
+		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
--- a/review/reviewcase/store.go
+++ b/review/reviewcase/store.go
@@ -27,6 +27,8 @@
 // its whole history.
 type store struct {
 	begin time.Time
+	// rewrite changes a value that a process writes; nil leaves all as they are.
+	rewrite func(table string, value []byte) []byte
 
 	mu      sync.Mutex // guards the fields below
 	ver     uint64
@@ -139,6 +141,11 @@
 			return
 		}
 	}
+	if s.rewrite != nil {
+		for i, row := range tx.Puts {
+			tx.Puts[i].Value = s.rewrite(row.Table, row.Value)
+		}
+	}
 	s.mu.Lock()
 	status := http.StatusOK
 	for _, e := range tx.Expected {
--- a/review/reviewcase/twice.go
+++ b/review/reviewcase/twice.go
@@ -11,7 +11,7 @@
 // and new ones refused.
 func twice(r *recorder, trouble bool) error {
 	const cutFor = 2 * time.Second
-	d, err := newDeployment(options{entries: 2, workers: sameKind(8, kind{cpu: 16_000, memMB: 32_768, labels: []string{"a", "r1-1"}}), requestTimeout: 1500 * time.Millisecond}, r)
+	d, err := newDeployment(options{entries: 2, workers: sameKind(8, kind{cpu: 16_000, memMB: 32_768, labels: []string{"a", "r1-1"}}), requestTimeout: 2500 * time.Millisecond}, r)
 	if d != nil {
 		defer d.close()
 	}
@@ -39,9 +39,9 @@
 				}
 			})
 		}
-		j := job{id: newID(rng), tasks: 2, estimate: 760, spec: taskSpec{CPU: 4000, MS: 600 + rng.Intn(300)}, deadline: 1500 * time.Millisecond}
+		j := job{id: newID(rng), tasks: 2, estimate: 1000, spec: taskSpec{CPU: 4000, MS: 900 + rng.Intn(200)}, deadline: 2500 * time.Millisecond}
 		d.spawn(func() { c.submitUntilAnswered(i%2, j) })
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(90 * time.Millisecond)
 	}
 	time.Sleep(4 * time.Second)
 	return nil
