Wait for the ordinary lease if the answer to a start shows the expected clock

What callers saw: a task whose upstream goes silent just after its start waited for the longest lease (1,340 ms) before it ran elsewhere, if no list had shown its run yet; many of the short tasks are in that state. Cause: without a list requested after the start, the run counted as one that a new incarnation may have been granted the longest lease for, also if the upstream had answered the start. Evidence: a lease is longer than asked for only on a clock that lies behind the one that the command was made for. The answer shows the clock. If it agrees, the run holds the lease that was asked for, whichever incarnation has it. Change: attempt.clockConfirmed, set by an answer whose clock is at most 3 ms behind the expected one; lapseOf then uses the ordinary lease (676 ms). Test: TestAnswerWithTheExpectedClockBoundsTheLease failed before in its three cases with an agreeing clock.

--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -64,6 +64,9 @@
 	// otherClock is set if the start command was made for the clock of an earlier
 	// incarnation: if the current one carries it out, it grants its longest lease.
 	otherClock bool
+	// clockConfirmed is set if the answer to the start had the clock that the command was made
+	// for, so that the run holds no longer lease than it asked for.
+	clockConfirmed bool
 	// missingLists counts the consecutive lists that lack a confirmed run.
 	missingLists int
 	endedAt      time.Duration
@@ -309,11 +312,13 @@
 	if a == nil || !a.occupies() || (answer.SentAt > 0 && answer.SentAt != a.startSentAt) {
 		return
 	}
+	clockAgrees := r.lease.clockAgrees(a.startSentAt, answer.ClockMS)
 	if answer.ClockMS > 0 && a.startedFor == r.upstreamID() {
 		r.SetClock(now, answer.ClockMS)
 	}
 	switch answer.Outcome {
 	case StartAccepted:
+		a.clockConfirmed = clockAgrees
 		if a.phase == phaseStarting {
 			a.phase = phaseRunning
 			a.confirmedAt = now
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -53,6 +53,16 @@
 	return l.clock + int64((now-l.clockAt+lease)/time.Millisecond)
 }
 
+// clockTolerance is how far a reading of the upstream's clock may lie behind the expected one. It
+// allows for rounding, and for clock rates that differ by 2% since a reading of 100 ms ago.
+const clockTolerance = 3 * time.Millisecond
+
+// clockAgrees reports whether an answer to a call made at the time at has the clock that was
+// expected then.
+func (l *leaseState) clockAgrees(at time.Duration, clockMS int64) bool {
+	return l.clockKnown && clockMS > 0 && clockMS >= l.leaseEndMS(at, -clockTolerance)
+}
+
 func (l *leaseState) raiseToken() { l.token += tokenStep }
 
 // SetToken sets the fencing token for commands.
@@ -451,11 +461,12 @@
 	return r.lease.ignoreBefore > 0 && now-r.lease.ignoreBefore <= r.settings.CommandTimeout+r.lapse(r.settings.MaxLease)
 }
 
-// lapseOf returns the same for an attempt. Without a list requested after its start,
-// the start and the renewals since may have reached a new incarnation of the upstream,
-// whose clock is behind: they are granted the longest lease.
+// lapseOf returns the same for an attempt. Without a list requested after its start, and
+// without the expected clock in the answer to it, the start and the renewals since may have
+// reached a new incarnation of the upstream, whose clock is behind: they are granted the longest
+// lease.
 func (r *Runner) lapseOf(a *attempt) time.Duration {
-	if a.otherClock || a.startSentAt >= r.lease.comparedRequestAt {
+	if a.otherClock || (!a.clockConfirmed && a.startSentAt >= r.lease.comparedRequestAt) {
 		return r.settings.CommandTimeout + r.lapse(r.settings.MaxLease)
 	}
 	return r.lapse(r.settings.Lease)
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -29,3 +29,32 @@
 		t.Errorf("report %v %q", got.State, got.Reason)
 	}
 }
+
+// Guards against waiting for the longest lease although the answer to the start shows the expected
+// clock, and against a shorter wait if it does not.
+func TestAnswerWithTheExpectedClockBoundsTheLease(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		clockMS   int64
+		confirmed bool
+	}{
+		{"expected", 510, true}, {"ahead", 530, true}, {"within the tolerance", 507, true},
+		{"behind", 506, false}, {"of a new incarnation", 4, false}, {"missing", 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newReady(t)
+			start := begin + 10*time.Millisecond
+			assign(r, start, entryA, "j1", nil)
+			r.Started(start+time.Millisecond, attemptOf("j1", 1), StartAnswer{Outcome: StartAccepted, ClockMS: c.clockMS, SentAt: start})
+			r.TakeEffects()
+			r.ListFailed(start + r.lapse(r.settings.Lease))
+			if n := len(effects[Report](r)); n != 0 {
+				t.Fatal("the run was given up within its lease")
+			}
+			r.ListFailed(start + r.lapse(r.settings.Lease) + time.Millisecond)
+			if ended := len(effects[Report](r)) == 1; ended != c.confirmed {
+				t.Errorf("given up once the ordinary lease has expired: %v, want %v", ended, c.confirmed)
+			}
+		})
+	}
+}
