Start nothing on an incarnation before its announcement

What callers saw: nothing so far. Cause: a list of another incarnation made the agent ready with the announcement of the earlier one. Evidence: TestIncarnationGetsNoTasksBeforeItsAnnouncement, which failed before (ready, and a task started). Change: an announcement is valid only for the incarnation that the list of runs comes from, as it was for one restored from the store.

--- a/internal/runner/announcement_test.go
+++ b/internal/runner/announcement_test.go
@@ -147,3 +147,26 @@
 		t.Errorf("after a new announcement: %v %q, want started", got.State, got.Reason)
 	}
 }
+
+// Guards against an upstream that is filled to the capacity of its earlier incarnation because a
+// list of the present one arrives before its announcement.
+func TestIncarnationGetsNoTasksBeforeItsAnnouncement(t *testing.T) {
+	r := newReady(t)
+	next := UpstreamID{ID: incarnation.ID, StartMS: incarnation.StartMS + 1}
+	list := func(now time.Duration) {
+		r.ListReceived(now+time.Millisecond, RunList{RequestedAt: now, ClockMS: 5, StartMS: next.StartMS})
+	}
+	list(begin + 10*time.Millisecond)
+	if r.Load(begin+12*time.Millisecond, entryA).Ready {
+		t.Error("ready with the capacity of the earlier incarnation")
+	}
+	assign(r, begin+13*time.Millisecond, entryA, "j1", nil)
+	if m := lastReport(t, r); m.State != wire.RunNotStarted {
+		t.Errorf("%v, want not started", m.State)
+	}
+	r.Announce(begin+20*time.Millisecond, Announcement{UpstreamID: next, Service: "s", CPU: 4000, MemMB: 1000, Seq: 1})
+	list(begin + 21*time.Millisecond)
+	if l := r.Load(begin+23*time.Millisecond, entryA); !l.Ready || l.CapacityCPU != 4000 {
+		t.Errorf("ready %v with %d thousandths of a core after the announcement, want 4000", l.Ready, l.CapacityCPU)
+	}
+}
--- a/internal/runner/recall.go
+++ b/internal/runner/recall.go
@@ -28,11 +28,12 @@
 	r.emit(Restored{UpstreamID: a.UpstreamID, Draining: a.Draining})
 }
 
-// announcementValid reports whether the announcement may be acted on. A restored one
-// is valid if the list of runs comes from the same incarnation. After RestoredMaxAge
-// it is invalid, because the upstream may be leaving without the agent's knowledge.
+// announcementValid reports whether the announcement may be acted on: it comes from the incarnation
+// that the list of runs comes from, as the next one may have other capacity and labels. After
+// RestoredMaxAge a restored one is invalid, because the upstream may be leaving without the agent's
+// knowledge.
 func (r *Runner) announcementValid() bool {
-	return !r.restored.active || (r.lease.startMS == r.upstream.StartMS && !r.restored.expired)
+	return r.lease.startMS == r.upstream.StartMS && !(r.restored.active && r.restored.expired)
 }
 
 // checkRestored drops a restored announcement if the first list comes from another
