End no run because its upstream refuses connections

Cause: a broken call, no open connection and a refused one together passed for the end of the upstream's process. A cut that resets connections looks the same, and the runs go on. Change: a refusal stops starts and renewals, and reports the crash with its runs as suspects; the runs count as ended when their lease has expired or a list of the next incarnation lacks them, each by itself. If the incarnation answers again, the crash is retracted (heartbeats, store, poison detector), and the upstream, which the agent no longer forgets, gets tasks at once.

--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -23,14 +23,21 @@
 	reasonRunsLost = "runs-lost"
 )
 
-// CrashReported handles a report of a crash of a host's upstream. It may come from the
-// host's agent or the store, and more than once.
+// CrashReported handles a report of a crash of a host's upstream, or that there was none. It may
+// come from the host's agent or the store, and more than once.
 func (b *Broker) CrashReported(now time.Duration, host string, c wire.UpstreamCrash) {
+	id := poison.CrashID{Host: host, StartMS: c.StartMS}
+	if c.Retracted {
+		if b.poison.Retract(id) {
+			b.emit(Decision{Agent: host, Action: "crash-retracted"})
+		}
+		return
+	}
 	runs := make([]poison.Run, len(c.Runs))
 	for i, r := range c.Runs {
 		runs[i] = poison.Run{Task: r.Attempt.Task, Queue: r.Queue, Age: time.Duration(r.AgeMS) * time.Millisecond}
 	}
-	isNew, found := b.poison.Add(now, now-time.Duration(c.SinceMS)*time.Millisecond, poison.CrashID{Host: host, StartMS: c.StartMS}, runs)
+	isNew, found := b.poison.Add(now, now-time.Duration(c.SinceMS)*time.Millisecond, id, runs)
 	if isNew {
 		b.emit(Decision{Agent: host, Action: "upstream-crashed", Runs: len(runs)})
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -32,10 +32,8 @@
 	BadResponse = PlatformErrors.NewType("bad_response")
 	// HistoryGone: the changes that were requested are no longer stored.
 	HistoryGone = PlatformErrors.NewType("history_gone")
-	// ConnectionRefused: nothing listens at the address any more.
+	// ConnectionRefused: nothing listens at the address, or a cut refuses connections to it.
 	ConnectionRefused = PlatformErrors.NewType("vanished")
-	// ListenerClosed: nothing listens at the address, but the process may go on.
-	ListenerClosed = PlatformErrors.NewType("listener_closed")
 )
 
 // Transport failures.
--- a/internal/leased/agent.go
+++ b/internal/leased/agent.go
@@ -180,6 +180,11 @@
 		a.logCrash(m)
 		a.sendHeartbeats(now, true)
 		a.announcements.saveCrash(time.Now(), m.Upstream.StartMS, m.Runs)
+	case runner.CrashRetracted:
+		a.log.Warn("upstream answers again, crash retracted", "instance", m.Upstream.ID, "born", m.Upstream.StartMS)
+		retractedCrashes.Inc()
+		a.sendHeartbeats(now, true)
+		a.announcements.retractCrash(time.Now(), m.Upstream.StartMS)
 	case runner.UpstreamRestarted:
 		a.log.Warn("upstream restarted", "old", m.Old.ID, "old_born", m.Old.StartMS, "new", m.New.ID, "new_born", m.New.StartMS)
 	}
--- a/internal/leased/announcements.go
+++ b/internal/leased/announcements.go
@@ -41,6 +41,8 @@
 	At      int64             `json:"at"`
 	StartMS int64             `json:"born"`
 	Runs    []wire.CrashedRun `json:"runs,omitempty"`
+	// Retracted is set if the incarnation has answered since.
+	Retracted bool `json:"retracted,omitempty"`
 }
 
 const (
@@ -58,7 +60,7 @@
 	for _, c := range r.Crashes {
 		if now.Sub(time.UnixMilli(c.At)).Abs() <= storedCrashAge {
 			age := max(0, now.Sub(time.UnixMilli(c.At)))
-			out = append(out, wire.UpstreamCrash{StartMS: c.StartMS, Runs: c.Runs, SinceMS: uint32(age / time.Millisecond)})
+			out = append(out, wire.UpstreamCrash{StartMS: c.StartMS, Runs: c.Runs, SinceMS: uint32(age / time.Millisecond), Retracted: c.Retracted})
 		}
 	}
 	return out
@@ -101,11 +103,21 @@
 
 // saveCrash makes run write a crash. It does not block.
 func (s *announcementStore) saveCrash(at time.Time, startMS int64, runs []wire.CrashedRun) {
+	s.addCrash(crashRow{At: at.UnixMilli(), StartMS: startMS, Runs: runs[:min(len(runs), maxStoredRuns)]})
+}
+
+// retractCrash makes run write that an incarnation has not crashed. It does not block.
+func (s *announcementStore) retractCrash(at time.Time, startMS int64) {
+	s.addCrash(crashRow{At: at.UnixMilli(), StartMS: startMS, Retracted: true})
+}
+
+// addCrash replaces what the row says of a crash of the incarnation.
+func (s *announcementStore) addCrash(c crashRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := crashRow{At: at.UnixMilli(), StartMS: startMS, Runs: runs[:min(len(runs), maxStoredRuns)]}
 	// The row's crashes may be shared with a reader.
-	crashes := append(slices.Clone(s.row.Crashes), c)
+	crashes := slices.DeleteFunc(slices.Clone(s.row.Crashes), func(o crashRow) bool { return o.StartMS == c.StartMS })
+	crashes = append(crashes, c)
 	s.row.Crashes = crashes[max(0, len(crashes)-maxStoredCrashes):]
 	s.encode()
 }
--- a/internal/leased/announcements_test.go
+++ b/internal/leased/announcements_test.go
@@ -57,3 +57,21 @@
 		t.Errorf("%d crashes that are minutes old are used", len(got))
 	}
 }
+
+// Guards against a retracted crash that stays in the row, beside its retraction.
+func TestRetractionReplacesTheStoredCrash(t *testing.T) {
+	now := time.Now()
+	s := newAnnouncementStore(nil, "h", slog.New(slog.DiscardHandler))
+	s.saveCrash(now, 4, nil)
+	s.saveCrash(now, 6, []wire.CrashedRun{{Attempt: wire.LeasedAttempt{Run: 1}}})
+	s.retractCrash(now, 6)
+	row, err := decodeUpstreamRow(s.latest)
+	got := row.recentCrashes(now)
+	if err != nil || len(got) != 2 || got[0].Retracted || got[1].StartMS != 6 || !got[1].Retracted {
+		t.Errorf("crashes %+v, error %v; want the one of 4 and the retraction of 6", got, err)
+	}
+	s.saveCrash(now, 6, nil)
+	if got := s.row.recentCrashes(now); len(got) != 2 || got[1].Retracted {
+		t.Errorf("crashes %+v, want the one of 6 again", got)
+	}
+}
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -151,6 +151,9 @@
 	case "upstream-crashed":
 		e.log.Warn("upstream crashed", "agent", m.Agent, "runs", m.Runs)
 		return
+	case "crash-retracted":
+		e.log.Warn("crash of upstream retracted", "agent", m.Agent)
+		return
 	case "caution":
 		e.log.Warn("queue caution changed", "queue", m.Queue, "caution", m.Reason)
 		return
--- a/internal/leased/upstreamcalls.go
+++ b/internal/leased/upstreamcalls.go
@@ -154,10 +154,8 @@
 		switch {
 		case err == nil:
 			core.ListReceived(now, answer)
-		case errorx.IsOfType(err, fault.ListenerClosed):
-			core.ConnectionRefused(now, requestedAt, id)
 		case errorx.IsOfType(err, fault.ConnectionRefused):
-			core.UpstreamEnded(now, requestedAt, id)
+			core.ConnectionRefused(now, requestedAt, id)
 		case errorx.IsOfType(err, fault.Conflict):
 			core.Fenced()
 		default:
--- a/internal/leasetest/agents_test.go
+++ b/internal/leasetest/agents_test.go
@@ -92,6 +92,20 @@
 	})
 }
 
+// retractCrash stores that an incarnation has not crashed. The write may be lost.
+func (a *agent) retractCrash(m runner.CrashRetracted) {
+	if a.w.chance(0.2) {
+		return
+	}
+	c := storedCrash{at: a.w.now, crash: wire.UpstreamCrash{StartMS: m.Upstream.StartMS, Retracted: true}}
+	a.w.after(a.w.between(5*step, 300*time.Millisecond), func() {
+		a.storedCrashes = append(a.storedCrashes, c)
+		for _, e := range a.w.entries {
+			e.receive(func() { e.readCrashes(a) })
+		}
+	})
+}
+
 func (a *agent) now() time.Duration { return a.w.now - a.startedAt + time.Hour }
 
 func (a *agent) upstream() *upstream { return a.w.upstreams[a.index] }
@@ -153,6 +167,9 @@
 	case runner.UpstreamCrashed:
 		a.storeCrash(m)
 		a.sendHeartbeats(true)
+	case runner.CrashRetracted:
+		a.retractCrash(m)
+		a.sendHeartbeats(true)
 	case runner.ReadyChanged:
 		a.sendHeartbeats(true)
 	case runner.Report:
@@ -422,7 +439,7 @@
 	poll = func() {
 		switch {
 		case a.upstream().down && !a.upstream().mute():
-			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { a.upstream().refuse(r, a.now(), requestedAt, id) }) })
+			a.w.after(a.w.answerDelay(lateAnswers), func() { finish(func(r *runner.Runner) { r.ConnectionRefused(a.now(), requestedAt, id) }) })
 		case a.upstream().mute():
 			a.w.after(310*time.Millisecond, failed)
 		case request.Wait && a.w.now < until && !a.upstream().hasEnd(request.LastSeen):
--- a/internal/leasetest/run_ends_test.go
+++ b/internal/leasetest/run_ends_test.go
@@ -129,3 +129,17 @@
 // handledAfterResume is the time after which a resumed entry with a fifth of a core has handled
 // the ends of some hundred connections.
 const handledAfterResume = 100 * time.Millisecond
+
+// Guards against two runs of a task at a time, and the other violations of the random model, if
+// upstreams cannot be reached for a while and their runs go on: calls are reset, refused or
+// unanswered.
+func TestInvariantsWithUpstreamsOutOfReach(t *testing.T) {
+	t.Parallel()
+	for _, hazards := range [][]hazard{{flapReset, flapRefused, longRuns}, {flapSilent, flapReset, flapRefused, downtimes, resubmissions}} {
+		for seed := range int64(40) {
+			if _, failure := simulateHazards(seed, true, hazards); failure != "" {
+				t.Errorf("%v, seed %d: %s", hazards, seed, failure)
+			}
+		}
+	}
+}
--- a/internal/leasetest/upstream_test.go
+++ b/internal/leasetest/upstream_test.go
@@ -73,15 +73,6 @@
 	u.ended = nil
 }
 
-// refuse lets the runner handle a refused connection. A crashed process has closed all others.
-func (u *upstream) refuse(r *runner.Runner, now, requestedAt time.Duration, id runner.UpstreamID) {
-	if len(u.runs) == 0 {
-		r.UpstreamEnded(now, requestedAt, id)
-		return
-	}
-	r.ConnectionRefused(now, requestedAt, id)
-}
-
 // mute reports whether requests get no answer.
 func (u *upstream) mute() bool { return u.unresponsive || (u.down && u.silent) }
 
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -152,6 +152,18 @@
 	return isNew, found
 }
 
+// Retract forgets a crash that has not happened, and returns whether it was known. Verdicts that
+// rest on it stay.
+func (d *Detector) Retract(id CrashID) bool {
+	c := d.crashes[id]
+	if c == nil {
+		return false
+	}
+	d.order = slices.DeleteFunc(d.order, func(o *crash) bool { return o == c })
+	d.forget(c)
+	return true
+}
+
 // Evaluate returns the jobs that are shown to be poison by crashes whose coincidenceWindow
 // has passed.
 func (d *Detector) Evaluate(now time.Duration) []string {
@@ -376,16 +388,7 @@
 	for len(d.order) > 0 && (now-d.order[0].at > retention || len(d.order) > maxCrashes) {
 		c := d.order[0]
 		d.order = d.order[1:]
-		delete(d.crashes, c.id)
-		for _, r := range c.runs {
-			j := d.jobs[r.Task.Job]
-			if j == nil {
-				continue
-			}
-			if j.crashes = slices.DeleteFunc(j.crashes, func(o *crash) bool { return o == c }); len(j.crashes) == 0 {
-				delete(d.jobs, r.Task.Job)
-			}
-		}
+		d.forget(c)
 	}
 	for name, q := range d.queues {
 		if now-q.cautiousUntil > retention {
@@ -393,3 +396,17 @@
 		}
 	}
 }
+
+// forget removes a crash from the records of its jobs.
+func (d *Detector) forget(c *crash) {
+	delete(d.crashes, c.id)
+	for _, r := range c.runs {
+		j := d.jobs[r.Task.Job]
+		if j == nil {
+			continue
+		}
+		if j.crashes = slices.DeleteFunc(j.crashes, func(o *crash) bool { return o == c }); len(j.crashes) == 0 {
+			delete(d.jobs, r.Task.Job)
+		}
+	}
+}
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -161,3 +161,19 @@
 		t.Error("the job is poison for good")
 	}
 }
+
+// Guards against jobs that stay suspects of a crash that has not happened.
+func TestRetractedCrashCountsAgainstNobody(t *testing.T) {
+	d := New()
+	d.Add(0, 0, crashOf("h1"), []Run{run("j", "q", 30*time.Millisecond)})
+	if !d.Retract(crashOf("h1")) || d.Retract(crashOf("h2")) {
+		t.Error("want only the known crash to be retracted")
+	}
+	d.Add(apart, apart, crashOf("h2"), []Run{run("j", "q", 30*time.Millisecond)})
+	if got := d.Evaluate(3 * apart); len(got) != 0 {
+		t.Errorf("found to be poison: %v, want none", got)
+	}
+	if n := d.Crashes("j"); n != 1 {
+		t.Errorf("%d crashes, want 1", n)
+	}
+}
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -287,7 +287,7 @@
 	a.phase = phaseStarting
 	a.state = wire.RunStarted
 	a.startSentAt, a.startedFor = now, r.upstream.UpstreamID
-	r.lease.renewedAt = now
+	r.lease.renewed(now)
 	r.usedCPU += a.assign.CPU
 	r.usedMem += a.assign.MemMB
 	r.startRates.add(now, a.assign.Priority, a.assign.CPU)
--- a/internal/runner/beliefs_test.go
+++ b/internal/runner/beliefs_test.go
@@ -35,7 +35,7 @@
 	// The list confirms it, the answer is late.
 	r.ListReceived(begin+3*time.Millisecond, RunList{RequestedAt: begin + 2*time.Millisecond, ClockMS: 502, StartMS: incarnation.StartMS,
 		Running: []wire.LeasedAttempt{attemptOf("j1", 1)}})
-	r.UpstreamEnded(begin+10*time.Millisecond, begin+10*time.Millisecond, incarnation)
+	r.ConnectionRefused(begin+10*time.Millisecond, begin+10*time.Millisecond, incarnation)
 	next := UpstreamID{ID: "u2", StartMS: incarnation.StartMS + 1}
 	r.Announce(begin+20*time.Millisecond, Announcement{UpstreamID: next, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 1})
 	r.ListReceived(begin+22*time.Millisecond, RunList{RequestedAt: begin + 21*time.Millisecond, ClockMS: 5, StartMS: next.StartMS})
@@ -120,8 +120,11 @@
 	// 10: request refused; 20: listener is back, list; 25: list handled; 30: refusal handled.
 	r.ListReceived(begin+25*time.Millisecond, RunList{RequestedAt: begin + 20*time.Millisecond, ClockMS: 522, StartMS: incarnation.StartMS,
 		Running: []wire.LeasedAttempt{attemptOf("j1", 1)}})
-	r.UpstreamEnded(begin+30*time.Millisecond, begin+10*time.Millisecond, incarnation)
+	r.ConnectionRefused(begin+30*time.Millisecond, begin+10*time.Millisecond, incarnation)
 	if reports := finalReports(r); len(reports) != 0 {
 		t.Errorf("given up: %v", reports)
 	}
+	if !r.Load(begin+31*time.Millisecond, entryA).Ready {
+		t.Error("not ready although a list that was requested later has arrived")
+	}
 }
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/damasklb/damasklb/internal/wire"
@@ -11,12 +12,15 @@
 const crashRetention = 60 * time.Second
 
 // UpstreamCrashed reports a crash: an incarnation of the upstream has ended without a notice
-// that it leaves.
+// that it leaves, or seems to have because it refuses connections.
 type UpstreamCrashed struct {
 	Upstream UpstreamID
 	Runs     []wire.CrashedRun
 }
 
+// CrashRetracted reports that an incarnation that seemed to have crashed has answered since.
+type CrashRetracted struct{ Upstream UpstreamID }
+
 // loggedCrash is a crash that is sent to all entries.
 type loggedCrash struct {
 	at     time.Duration
@@ -37,10 +41,6 @@
 		return
 	}
 	r.lastCrashStartMS = crashed.StartMS
-	at := now
-	if r.refusedSince > 0 {
-		at = r.refusedSince
-	}
 	for _, a := range r.active {
 		if !a.occupies() {
 			continue
@@ -48,15 +48,31 @@
 		var age time.Duration
 		if a.confirmedAt > 0 {
 			// A start without an answer may have reached nobody.
-			age = max(0, at-a.startSentAt)
+			age = max(0, now-a.startSentAt)
 		}
 		runs = append(runs, crashedRun(a, age))
 	}
-	r.crashCount++
-	r.crashLog = append(r.crashLog, loggedCrash{at: at, number: r.crashCount, crash: wire.UpstreamCrash{StartMS: crashed.StartMS, Runs: runs}})
+	r.logCrash(now, wire.UpstreamCrash{StartMS: crashed.StartMS, Runs: runs})
 	r.emit(UpstreamCrashed{Upstream: crashed, Runs: runs})
 }
 
+func (r *Runner) logCrash(now time.Duration, c wire.UpstreamCrash) {
+	r.crashCount++
+	r.crashLog = append(r.crashLog, loggedCrash{at: now, number: r.crashCount, crash: c})
+}
+
+// retractCrash takes the report of a crash of the present incarnation back.
+func (r *Runner) retractCrash(now time.Duration) {
+	id := UpstreamID{ID: r.upstreamID().ID, StartMS: r.lease.startMS}
+	if id.StartMS == 0 || r.lastCrashStartMS != id.StartMS {
+		return
+	}
+	r.lastCrashStartMS = 0
+	r.crashLog = slices.DeleteFunc(r.crashLog, func(c loggedCrash) bool { return c.crash.StartMS == id.StartMS })
+	r.logCrash(now, wire.UpstreamCrash{StartMS: id.StartMS, Retracted: true})
+	r.emit(CrashRetracted{Upstream: id})
+}
+
 func crashedRun(a *attempt, age time.Duration) wire.CrashedRun {
 	return wire.CrashedRun{Attempt: a.id, Queue: a.assign.Queue, AgeMS: uint32(age / time.Millisecond)}
 }
@@ -70,9 +86,7 @@
 // RestoreCrashes handles crashes that an earlier process of the agent has stored.
 func (r *Runner) RestoreCrashes(now time.Duration, crashes []wire.UpstreamCrash) {
 	for _, c := range crashes {
-		r.crashCount++
-		at := now - time.Duration(c.SinceMS)*time.Millisecond
-		r.crashLog = append(r.crashLog, loggedCrash{at: at, number: r.crashCount, crash: c})
+		r.logCrash(now-time.Duration(c.SinceMS)*time.Millisecond, c)
 	}
 }
 
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -19,7 +19,7 @@
 		Running: []wire.LeasedAttempt{attemptOf("j1", 1), attemptOf("j2", 1)}})
 	r.TakeEffects()
 	now := begin + 30*time.Millisecond
-	r.UpstreamEnded(now, now, incarnation)
+	r.ConnectionRefused(now, now, incarnation)
 	got := crashes(r)
 	if len(got) != 1 || got[0].Upstream.StartMS != incarnation.StartMS || len(got[0].Runs) != 2 || got[0].Runs[0].AgeMS != 30 {
 		t.Fatalf("crashes %+v, want one of %v with two runs of 30 ms", got, incarnation)
@@ -53,7 +53,7 @@
 	r.ListFailed(begin + 5*time.Second)
 	r.ListReceived(begin+6*time.Second, RunList{RequestedAt: begin + 6*time.Second, ClockMS: 500, StartMS: incarnation.StartMS})
 	r.UpstreamLeaving(begin+6*time.Second, incarnation.ID)
-	r.UpstreamEnded(begin+7*time.Second, begin+7*time.Second, incarnation)
+	r.ConnectionRefused(begin+7*time.Second, begin+7*time.Second, incarnation)
 	if got := crashes(r); len(got) != 0 {
 		t.Errorf("crashes %+v, want none", got)
 	}
@@ -85,7 +85,7 @@
 func TestCrashesAreSentOnEachLinkOnce(t *testing.T) {
 	r := newReady(t)
 	assign(r, begin, entryA, "j1", func(m *wire.Assign) { m.Queue = "q" })
-	r.UpstreamEnded(begin+time.Millisecond, begin+time.Millisecond, incarnation)
+	r.ConnectionRefused(begin+time.Millisecond, begin+time.Millisecond, incarnation)
 	for _, id := range []EntryID{entryA, entryB} {
 		r.Connected(begin+time.Second, id)
 		got := r.TakeCrashes(begin+time.Second, id)
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -30,8 +30,8 @@
 	acknowledged int64
 	token        uint64
 	// renewedAt is the agent's time when a command or list request with a renewal was
-	// last made.
-	renewedAt time.Duration
+	// last made, renewedBefore that of the one before.
+	renewedAt, renewedBefore time.Duration
 	// requestedAt is when the last list request was planned.
 	requestedAt time.Duration
 	// comparedRequestAt is the request time of the newest list that was compared.
@@ -63,6 +63,18 @@
 	return l.clockKnown && clockMS > 0 && clockMS >= l.leaseEndMS(at, -clockTolerance)
 }
 
+// renewed notes a call with a renewal.
+func (l *leaseState) renewed(now time.Duration) {
+	l.renewedBefore, l.renewedAt = l.renewedAt, now
+}
+
+// notRenewed notes that the call made at the time at reached nobody.
+func (l *leaseState) notRenewed(at time.Duration) {
+	if at == l.renewedAt && l.renewedBefore > 0 {
+		l.renewedAt, l.renewedBefore = l.renewedBefore, 0
+	}
+}
+
 func (l *leaseState) raiseToken() { l.token += tokenStep }
 
 // SetToken sets the fencing token for commands.
@@ -139,7 +151,7 @@
 	request.Needed = r.upstream != nil && (busy || !r.lease.listed || len(r.foreign) > 0 || r.lease.acknowledged < r.lease.lastSeen)
 	if busy && r.refusedSince == 0 && r.leaseRenewable(now) {
 		request.LeaseEndMS = r.lease.leaseEndMS(now, r.settings.Lease)
-		r.lease.renewedAt = now
+		r.lease.renewed(now)
 	}
 	request.Wait = busy && !stopping && !due && r.lease.listed && len(r.foreign) == 0
 	return request
@@ -201,7 +213,7 @@
 		r.lease.startMS = list.StartMS
 	}
 	r.lapsed = nil
-	r.refusedSince = 0
+	r.answersAgain(now)
 	first := !r.lease.listed
 	r.lease.lastListAt = now
 	r.health.listReceived()
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -17,7 +17,7 @@
 	l.Service, l.Labels = u.Service, u.Labels
 	l.CapacityCPU, l.CapacityMem = u.CPU, u.MemMB
 	l.FreeCPU, l.FreeMem = max(0, r.usableCPU(now)-r.usedCPU), max(0, u.MemMB-r.usedMem)
-	if !r.leaseRenewable(now) {
+	if r.refusedSince > 0 || !r.leaseRenewable(now) {
 		// Nothing starts before the lease may be renewed again.
 		l.FreeCPU, l.FreeMem = 0, 0
 	}
--- a/internal/runner/refused.go
+++ b/internal/runner/refused.go
@@ -7,54 +7,67 @@
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
-// ConnectionRefused handles a refused connection to an incarnation of the upstream whose process
-// is not known to have ended, or an answer that another incarnation has its address. The process may go on, so
-// nothing is started or renewed, and the runs count as ended only when their lease has expired, or
-// a list of the next incarnation shows it. The refusal may be handled after that incarnation has
-// begun.
+// An upstream refuses connections when its process has ended, and behind a cut that resets and
+// refuses them while its runs go on. The two cannot be told apart, so a refusal ends no run. It
+// shows that nothing can be started, and is reported as a crash until the incarnation answers again.
+
+// ConnectionRefused handles a refused connection to an incarnation of the upstream, or an answer
+// that another incarnation has its address. Nothing is started or renewed from then on. The runs
+// count as ended only when their lease has expired, or a list of the next incarnation shows it. The
+// refusal may be handled after that incarnation has begun.
 func (r *Runner) ConnectionRefused(now, requestedAt time.Duration, id UpstreamID) {
 	if !r.refusalCounts(requestedAt, id) {
 		return
 	}
+	r.lease.notRenewed(requestedAt)
 	if r.refusedSince == 0 {
+		r.recordCrash(now, UpstreamID{ID: id.ID})
 		r.refusedSince = now
 	}
-	r.dropWaiting(now, "upstream-gone")
+	r.dropWaiting(now, reasonGone)
 	r.endRefused(now)
 }
 
+// reasonGone is the reason of attempts whose upstream refuses connections.
+const reasonGone = "upstream-gone"
+
 // refusalCounts reports whether a refused call was for the present incarnation, which has answered
 // no list that was requested later.
 func (r *Runner) refusalCounts(requestedAt time.Duration, id UpstreamID) bool {
 	return r.upstream != nil && r.upstream.UpstreamID == id && requestedAt >= r.lease.comparedRequestAt
 }
 
-// endRefused gives up an upstream that refuses connections once no run can be left.
+// endRefused ends the runs on an upstream that refuses connections whose lease has expired. The
+// upstream is retained until its announcement is too old, because it may answer again.
 func (r *Runner) endRefused(now time.Duration) {
 	if r.refusedSince == 0 || r.upstream == nil {
 		return
 	}
-	for _, a := range r.active {
-		if a.occupies() && !r.lapsedAt(now, a) {
-			return
+	for _, a := range slices.Clone(r.active) {
+		if a.occupies() && r.lapsedAt(now, a) {
+			r.finish(now, a, wire.RunStopped, reasonGone, now-a.startSentAt)
 		}
 	}
-	r.UpstreamEnded(now, now, r.upstream.UpstreamID)
+	if !r.gone() {
+		return
+	}
+	// The next list may come from another incarnation, with capacity that is not known yet.
+	r.lease.listed = false
+	if r.restored.active || now-r.announcedAt > r.settings.AnnouncementMaxAge {
+		r.newIncarnation(now, UpstreamID{ID: r.upstream.ID})
+		r.upstream = nil
+		r.restored = restoredState{}
+	}
 }
 
-// UpstreamEnded handles the end of an incarnation's process, and so of all its runs: it has broken
-// off a call, refuses connections, and none to it is left open.
-func (r *Runner) UpstreamEnded(now, requestedAt time.Duration, id UpstreamID) {
-	if !r.refusalCounts(requestedAt, id) {
+// gone reports whether the upstream refuses connections and none of its runs is left.
+func (r *Runner) gone() bool { return r.refusedSince > 0 && r.Running() == 0 }
+
+// answersAgain handles a list of an incarnation that has refused connections.
+func (r *Runner) answersAgain(now time.Duration) {
+	if r.refusedSince == 0 {
 		return
 	}
-	r.newIncarnation(now, UpstreamID{ID: r.upstream.ID})
-	for _, a := range slices.Clone(r.active) {
-		if a.occupies() {
-			r.finish(now, a, wire.RunStopped, reasonRestarted, now-a.startSentAt)
-		}
-	}
-	r.dropWaiting(now, "upstream-gone")
-	r.upstream = nil
-	r.restored = restoredState{}
+	r.refusedSince = 0
+	r.retractCrash(now)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -214,7 +214,7 @@
 func (r *Runner) Announce(now time.Duration, a Announcement) bool {
 	old := r.upstream
 	if old != nil {
-		if a.StartMS < old.StartMS || (a.UpstreamID == old.UpstreamID && a.Seq <= old.Seq) {
+		if (a.StartMS < old.StartMS && !r.gone()) || (a.UpstreamID == old.UpstreamID && a.Seq <= old.Seq) {
 			return false
 		}
 		if a.UpstreamID != old.UpstreamID {
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -104,12 +104,15 @@
 	Crashes []UpstreamCrash `cbor:"4,keyasint,omitempty"`
 }
 
-// UpstreamCrash is the end of an incarnation of an upstream without a notice.
+// UpstreamCrash is the end of an incarnation of an upstream without a notice, or what seems to
+// be one.
 type UpstreamCrash struct {
 	StartMS int64        `cbor:"1,keyasint"`
 	Runs    []CrashedRun `cbor:"2,keyasint,omitempty"`
 	// SinceMS is the time since the crash.
 	SinceMS uint32 `cbor:"3,keyasint,omitempty"`
+	// Retracted is set if the incarnation has answered since, so that its crash does not count.
+	Retracted bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashedRun is a run that the upstream had, or may have had, when it crashed.
