Start no task for a caller that may have left while the entry was out of touch

What callers saw: tasks that ran on two workers at the same time. Cause: an entry takes a caller for waiting until its host has received the close of the connection. Behind a cut the close is on its way for up to the length of the cut after its end, or lost. The same belief counted for requests that were sent in the cut and read after it, and for an entry that starts behind a cut. Evidence: an entry that is cut off hears from no agent either. After more than 420 ms without a message of any agent no task is placed for a request that was read before; its job is given up as one that may have run, or refused if nothing has. Ready results are still answered, copies read since are served. Requests read within the length of the absence after it wait 30 ms for the close of their connection. A pause and a late start are treated alike.

--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -69,7 +69,7 @@
 // tasks or retains them until they can be placed.
 func (b *Broker) admit(now time.Duration, j *job) (Outcome, bool) {
 	var placements []planned
-	if !b.draining && !b.suspended(now) {
+	if !b.draining && !b.held(now, j) {
 		placements = b.plan(now, j)
 	}
 	v := b.judge(now, j, placements)
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -41,6 +41,7 @@
 //
 // An agent whose link is refused dials again, and the new link shows the order.
 func (b *Broker) Connected(now time.Duration, l agentlink.Link) bool {
+	b.heard(now)
 	a := b.agents[l.Agent.Host]
 	if a != nil && a.Outdated(l) {
 		b.emit(Decision{Agent: l.Agent.Host, Action: "refuse-link", Reason: "process-order-unknown", ReportAge: now - a.HeartbeatAt})
@@ -93,6 +94,7 @@
 	if a == nil || a.ID != id {
 		return
 	}
+	b.heard(now)
 	if m.Load.Ready && !b.HasAgent(now) {
 		b.agentsExpectedUntil = now + agentArrivalWindow
 	}
@@ -114,6 +116,15 @@
 	b.reported(now, a)
 }
 
+// heard notes a message of an agent.
+func (b *Broker) heard(now time.Duration) {
+	if absent := b.absence.Heard(now); absent > 0 {
+		// The closes that were held up arrive first.
+		b.suspendedUntil = max(b.suspendedUntil, now+b.settings.ResumeDelay)
+		b.emit(Decision{Action: "out-of-touch", Wait: absent, Tasks: len(b.jobs)})
+	}
+}
+
 // confirm sends an agent a confirmation of its tasks.
 func (b *Broker) confirm(now time.Duration, a *agent, m *wire.EntryBeat) {
 	a.ConfirmedAt = now
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/damasklb/damasklb/internal/absence"
 	"github.com/damasklb/damasklb/internal/evacuation"
 	"github.com/damasklb/damasklb/internal/locality"
 	"github.com/damasklb/damasklb/internal/outcomes"
@@ -57,6 +58,9 @@
 
 	evacuations evacuation.EntryTracker
 
+	// absence is when the entry has been out of touch.
+	absence absence.Tracker
+
 	draining bool
 	lastTick time.Duration
 	// suspendedUntil is the time before which no new command is sent, after a
@@ -82,6 +86,7 @@
 		poison:   poison.New(),
 		scarcity: map[string]*scarcity.Controller{},
 		racks:    locality.NewRacks(settings.Locality, settings.FarRackFactor),
+		absence:  absence.New(settings.HeartbeatTimeout),
 	}
 }
 
@@ -144,6 +149,7 @@
 // Tick handles the passing of time. It is called every few tens of milliseconds.
 func (b *Broker) Tick(now time.Duration) {
 	b.lastTick = now
+	b.absence.Begin(now)
 	b.expireSilentAgents(now)
 	b.decideVerified(now)
 	b.retryWithdrawals(now)
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -20,10 +20,13 @@
 	stats   *runtimes.Stats
 	arrived time.Duration
 	// waited is the time for which the caller had certainly waited before.
-	waited    time.Duration
-	waiters   []Waiter
-	tasks     []*task
-	openTasks int
+	waited  time.Duration
+	waiters []Waiter
+	// requestedAt is when the last request with the job was read. If it may have been held up, the
+	// end of its connection is awaited until heldUntil.
+	requestedAt, heldUntil time.Duration
+	tasks                  []*task
+	openTasks              int
 	// started is whether a task has started or may have, startedEarlier the same of an earlier
 	// submission to this broker.
 	started, startedEarlier bool
@@ -47,6 +50,7 @@
 type pendingSubmission struct {
 	sub    Submission
 	waiter Waiter
+	at     time.Duration
 }
 
 // task is one task of a job.
@@ -110,14 +114,20 @@
 // Submit handles a request with a job. A copy of a request whose job has no outcome
 // yet joins that job.
 func (b *Broker) Submit(now time.Duration, sub Submission, w Waiter) {
+	b.submit(now, pendingSubmission{sub: sub, waiter: w, at: now})
+}
+
+func (b *Broker) submit(now time.Duration, p pendingSubmission) {
+	sub, w := p.sub, p.waiter
 	if j := b.jobs[sub.ID]; j != nil {
 		if !j.closing {
 			j.waiters = append(j.waiters, w)
+			j.requestedAt = p.at
 			return
 		}
 		// Runs of the earlier submission may be left. The new one waits for
 		// their end, so that no task runs twice at the same time.
-		j.pending = append(j.pending, pendingSubmission{sub: sub, waiter: w})
+		j.pending = append(j.pending, p)
 		return
 	}
 	earlier, _ := b.answers.Get(sub.ID)
@@ -131,6 +141,10 @@
 	}
 	j := newJob(now, sub, b.statsOf(sub.Queue.Name), b.racks)
 	j.waiters, j.earlierLastRun, j.lastRun, j.startedEarlier = []Waiter{w}, earlier.LastRun, earlier.LastRun, earlier.Started
+	j.requestedAt = p.at
+	if b.absence.HeldUp(now) {
+		j.heldUntil = now + b.settings.ResumeDelay
+	}
 	b.noteTimeout(j)
 	// Another entry may have run it.
 	j.started = b.poison.HasRun(sub.ID)
@@ -265,7 +279,7 @@
 			b.emit(Answer{Waiter: p.waiter, Job: j.sub.ID, Outcome: callerLeft})
 			continue
 		}
-		b.Submit(now, p.sub, p.waiter)
+		b.submit(now, p)
 	}
 }
 
@@ -275,6 +289,7 @@
 	if a == nil || a.ID != id {
 		return
 	}
+	b.heard(now)
 	a.View.Report(m.Load)
 	defer b.reported(now, a)
 	t := b.taskOf(m.Attempt)
--- a/internal/broker/judge.go
+++ b/internal/broker/judge.go
@@ -15,6 +15,7 @@
 	reasonOverload   = "overload"
 	reasonNoUpstream = "no-upstream"
 	reasonScarcity   = "scarcity"
+	reasonOutOfTouch = "entry-out-of-touch"
 	// The reasons for holding a job.
 	reasonResuming       = "process-resumed"
 	reasonAgentsExpected = "agents-expected"
@@ -36,7 +37,7 @@
 	if b.draining {
 		return explain.Verdict{Action: explain.Refuse, Reason: reasonLeaving, RetryAfter: minRetryAfter, Exact: true}
 	}
-	if b.suspended(now) {
+	if b.held(now, j) {
 		return explain.HoldFor(reasonResuming)
 	}
 	v := explain.Verdict{Action: explain.Place, Limit: time.Duration(maxWaitShare * float64(j.slack()))}
--- a/internal/broker/locality_test.go
+++ b/internal/broker/locality_test.go
@@ -161,8 +161,10 @@
 		case "disconnected":
 			g.b.Disconnected(g.agents["a"])
 		case "silent":
-			g.now += g.b.settings.HeartbeatTimeout
-			g.heartbeat("b", rackLoadOf("r2", 10_000))
+			for range 2 {
+				g.now += g.b.settings.HeartbeatTimeout / 2
+				g.heartbeat("b", rackLoadOf("r2", 10_000))
+			}
 		default:
 			l := rackLoadOf("r1", 0)
 			l.Ready = false
--- a/internal/broker/locality_waits_test.go
+++ b/internal/broker/locality_waits_test.go
@@ -147,7 +147,7 @@
 	for _, left := range []bool{false, true} {
 		g := newRackRig(t)
 		g.holdJob("j")
-		g.now += 600 * time.Millisecond
+		g.now += g.b.settings.HeartbeatTimeout
 		g.b.ProcessResumed(g.now)
 		if left {
 			g.b.CallerLeft(g.now, "j", 1)
@@ -173,6 +173,28 @@
 	}
 }
 
+// Guards against a hold that goes on, or a run for a caller that may have left, after a pause in
+// which the entry was out of touch.
+func TestHeldTaskAfterALongPause(t *testing.T) {
+	g := newRackRig(t)
+	g.holdJob("j")
+	g.now += 600 * time.Millisecond
+	g.b.ProcessResumed(g.now)
+	var effects []Effect
+	for end := g.now + g.b.settings.ResumeDelay + agentArrivalWindow; g.now < end; g.now += 5 * time.Millisecond {
+		g.heartbeat("a", rackLoadOf("r1", 10_000))
+		g.heartbeat("b", rackLoadOf("r2", 10_000))
+		g.b.Tick(g.now)
+		effects = append(effects, g.takeEffects()...)
+	}
+	if n := len(messages[wire.Assign](effects)); n != 0 {
+		t.Errorf("%d assignments", n)
+	}
+	if a := answers(effects); len(a) != 1 || a[0].Outcome.Kind != Refused {
+		t.Errorf("answers %+v, want a refusal", a)
+	}
+}
+
 // Guards against inputs of agents and callers that end the process or give a wait that is no
 // number.
 func TestRackDecisionTakesMalformedInputs(t *testing.T) {
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -166,7 +166,7 @@
 // place assigns a task to an agent, or retains it until one can take it. It is for
 // retained tasks and for tasks whose attempt has ended.
 func (b *Broker) place(now time.Duration, t *task) {
-	if b.suspended(now) {
+	if b.held(now, t.job) {
 		b.retainTask(now, t)
 		return
 	}
@@ -195,9 +195,18 @@
 	}
 }
 
+// held reports whether no task of the job may be placed yet, because it is not known whether its
+// callers wait.
+func (b *Broker) held(now time.Duration, j *job) bool { return b.suspended(now) || now < j.heldUntil }
+
 // callersWait ends the requests of callers that have left and reports whether any caller waits
-// for the job. Their departure may not have been handled yet, while the job runs elsewhere.
+// for the job. Their departure may not have been handled yet, while the job runs elsewhere. A job
+// whose callers may have left while the entry was out of touch is given up.
 func (b *Broker) callersWait(now time.Duration, j *job) bool {
+	if b.absence.MayHaveLeft(j.requestedAt) && !j.closing {
+		b.emit(Decision{Job: j.sub.ID, Action: "give-up", Reason: reasonOutOfTouch, Wait: now - j.requestedAt})
+		b.close(now, j, Outcome{Kind: Refused, Reason: reasonOutOfTouch, RetryAfter: b.jitter(minRetryAfter)})
+	}
 	for _, w := range slices.Clone(j.waiters) {
 		if !b.callerWaits(w) {
 			// The request's own goroutine may not notice the end of the connection.
--- a/internal/leased/entry.go
+++ b/internal/leased/entry.go
@@ -151,6 +151,9 @@
 	case "upstream-crashed":
 		e.log.Warn("upstream crashed", "agent", m.Agent, "runs", m.Runs)
 		return
+	case "out-of-touch":
+		e.log.Warn("was out of touch with all agents", "for_ms", m.Wait.Milliseconds(), "jobs", m.Tasks)
+		return
 	case "crash-retracted":
 		e.log.Warn("crash of upstream retracted", "agent", m.Agent)
 		return
@@ -170,7 +173,7 @@
 		e.logRunBeside(m)
 		return
 	case "give-up":
-		e.log.Warn("job given up", "job", m.Job, "reason", m.Reason, "crashes", m.Crashes)
+		e.log.Warn("job given up", "job", m.Job, "reason", m.Reason, "crashes", m.Crashes, "age_ms", m.Wait.Milliseconds())
 		return
 	}
 	if m.Rack != nil {
--- a/internal/leasetest/world_test.go
+++ b/internal/leasetest/world_test.go
@@ -293,6 +293,7 @@
 	delete(e.waiting, waiter)
 	if w.on(lostDepartures) || (w.on(lostInCut) && w.now < e.cutUntil) {
 		w.logf("job %s: the close does not reach entry %d", j.id, e.index)
+		e.lost[waiter] = true
 	} else {
 		e.receiveClose(waiter, func() { e.do(func(c *broker.Broker) { c.CallerLeft(e.now(), j.id, waiter) }) })
 	}
