Retract the crash of an upstream that answers after its announcement has expired

What callers saw: nothing. Cause: the retraction depended on the refusal still being in force. After more than 4 s without an announcement the agent gives the upstream up, and a list of the same incarnation afterwards retracted nothing: its runs stayed suspects for 60 s, and its next crash was left out. Evidence: TestCrashIsRetractedAfterALongCut failed before. Change: a list of the incarnation whose crash was recorded last retracts it, whatever was in force. Besides, the explanation of a held task asks the same question as its placement, and two comments are where they belong.

--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -160,7 +160,7 @@
 	switch {
 	case t.job.closing:
 		return o
-	case x.b.suspended(x.now):
+	case x.b.held(x.now, t.job):
 		v = explain.HoldFor(reasonResuming)
 	case t.liveAt != nil:
 		v = explain.HoldFor(reasons.Live)
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -50,7 +50,8 @@
 type pendingSubmission struct {
 	sub    Submission
 	waiter Waiter
-	at     time.Duration
+	// at is when the request was read.
+	at time.Duration
 }
 
 // task is one task of a job.
--- a/internal/leased/metrics.go
+++ b/internal/leased/metrics.go
@@ -25,9 +25,9 @@
 	// upstreamCrashes counts the upstreams that have ended without a notice, crashedRuns
 	// the runs that they had.
 	upstreamCrashes = metrics.NewCounter("damasklb_hosted_upstream_crashes_total")
-	// retractedCrashes counts those that have answered again.
+	crashedRuns     = metrics.NewCounter("damasklb_hosted_runs_crashed_total")
+	// retractedCrashes counts the crashes of upstreams that have answered again.
 	retractedCrashes = metrics.NewCounter("damasklb_hosted_upstream_crashes_retracted_total")
-	crashedRuns      = metrics.NewCounter("damasklb_hosted_runs_crashed_total")
 
 	// runsFound counts the runs that an upstream lists although its agent has reported them
 	// as ended, runsBeside those that an agent reports to an entry that has given them up.
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -61,7 +61,7 @@
 	r.crashLog = append(r.crashLog, loggedCrash{at: now, number: r.crashCount, crash: c})
 }
 
-// retractCrash takes the report of a crash of the present incarnation back.
+// retractCrash takes the report of a crash of the incarnation that the last list came from back.
 func (r *Runner) retractCrash(now time.Duration) {
 	id := UpstreamID{ID: r.upstreamID().ID, StartMS: r.lease.startMS}
 	if id.StartMS == 0 || r.lastCrashStartMS != id.StartMS {
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -213,7 +213,8 @@
 		r.lease.startMS = list.StartMS
 	}
 	r.lapsed = nil
-	r.answersAgain(now)
+	r.refusedSince = 0
+	r.retractCrash(now)
 	first := !r.lease.listed
 	r.lease.lastListAt = now
 	r.health.listReceived()
--- a/internal/runner/refused.go
+++ b/internal/runner/refused.go
@@ -62,12 +62,3 @@
 
 // gone reports whether the upstream refuses connections and none of its runs is left.
 func (r *Runner) gone() bool { return r.refusedSince > 0 && r.Running() == 0 }
-
-// answersAgain handles a list of an incarnation that has refused connections.
-func (r *Runner) answersAgain(now time.Duration) {
-	if r.refusedSince == 0 {
-		return
-	}
-	r.refusedSince = 0
-	r.retractCrash(now)
-}
--- a/internal/runner/refused_test.go
+++ b/internal/runner/refused_test.go
@@ -132,6 +132,25 @@
 	}
 }
 
+// Guards against a crash that counts for good if the upstream was out of reach for longer than its
+// announcement is valid.
+func TestCrashIsRetractedAfterALongCut(t *testing.T) {
+	r := newReady(t)
+	startRun(t, r, begin, "j1")
+	r.ConnectionRefused(begin+20*time.Millisecond, begin+20*time.Millisecond, incarnation)
+	now := begin + r.settings.AnnouncementMaxAge + time.Second
+	r.Tick(now)
+	if r.UpstreamID() != (UpstreamID{}) {
+		t.Fatal("the upstream is not given up")
+	}
+	r.Announce(now, Announcement{UpstreamID: incarnation, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 9})
+	r.TakeEffects()
+	confirmRun(r, now+time.Millisecond, "other")
+	if got := effects[CrashRetracted](r); len(got) != 1 || got[0].Upstream.StartMS != incarnation.StartMS {
+		t.Errorf("retractions %+v, want one", got)
+	}
+}
+
 // confirmRun handles a list that shows a run.
 func confirmRun(r *Runner, now time.Duration, job string) {
 	r.ListReceived(now, RunList{RequestedAt: now, ClockMS: 500 + int64((now-begin)/time.Millisecond), StartMS: incarnation.StartMS,
