--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -152,8 +152,8 @@
 	return isNew, found
 }
 
-// Retract forgets a crash that has not happened, and returns whether it was known. Verdicts that
-// rest on it stay.
+// Retract forgets a crash that has not happened, and returns whether it was known. Cautions that
+// were raised for it last as long as others.
 func (d *Detector) Retract(id CrashID) bool {
 	c := d.crashes[id]
 	if c == nil {
--- a/internal/runner/refused_test.go
+++ b/internal/runner/refused_test.go
@@ -35,8 +35,8 @@
 	if request := r.NextListRequest(refused); request.LeaseEndMS != 0 {
 		t.Error("the lease is renewed")
 	}
-	if r.Load(refused, entryA).Ready {
-		t.Error("the agent is ready")
+	if l := r.Load(refused, entryA); l.Ready || l.FreeCPU != 0 {
+		t.Errorf("ready %v with %d free cores", l.Ready, l.FreeCPU)
 	}
 	for now := refused; now < begin+3*time.Second; now += 20 * time.Millisecond {
 		r.Confirm(entryA, now)
@@ -132,6 +132,25 @@
 	}
 }
 
+// Guards against an upstream that is ignored after a crash because the clock of its host has
+// stepped back, and against one that is replaced by an earlier incarnation while it has runs.
+func TestEarlierStartTimeIsAcceptedOnceNoRunIsLeft(t *testing.T) {
+	r := newReady(t)
+	startRun(t, r, begin, "j1")
+	confirmRun(r, begin+10*time.Millisecond, "j1")
+	refused := begin + 20*time.Millisecond
+	r.ConnectionRefused(refused, refused, incarnation)
+	earlier := Announcement{UpstreamID: UpstreamID{ID: "u2", StartMS: incarnation.StartMS - 1}, Service: "s", CPU: 10_000, MemMB: 1000, Seq: 1}
+	if r.Announce(refused, earlier) {
+		t.Error("used while a run may be left")
+	}
+	now := begin + time.Second
+	r.Tick(now)
+	if !r.Announce(now, earlier) || r.UpstreamID() != earlier.UpstreamID {
+		t.Error("ignored although no run is left")
+	}
+}
+
 // Guards against a crash that counts for good if the upstream was out of reach for longer than its
 // announcement is valid.
 func TestCrashIsRetractedAfterALongCut(t *testing.T) {
