Guard the edges of an absence: a request before its end, a late start, a pending copy

Mutations showed that no test failed without three parts of the rule: the delay of 30 ms at the end of an absence, the absence of an entry that starts behind a cut, and the time at which a pending copy was read. Each of the three tests fails without its part and passes with it.

--- a/internal/broker/absence_test.go
+++ b/internal/broker/absence_test.go
@@ -110,3 +110,63 @@
 		t.Errorf("%d assignments", n)
 	}
 }
+
+// Guards against a run for a caller that has left, whose request was read just before the first
+// message of an agent after an absence.
+func TestRequestReadBeforeTheEndOfAnAbsenceWaitsForItsClose(t *testing.T) {
+	g := newRig(t, "a", "b")
+	g.b.Tick(g.now)
+	g.now += outOfTouch
+	g.submit("j1", 1, 1)
+	g.heartbeat("a", load(10_000))
+	g.heartbeat("b", load(10_000))
+	g.b.Tick(g.now)
+	if n := len(messages[wire.Assign](g.takeEffects())); n != 0 {
+		t.Errorf("%d assignments at once", n)
+	}
+	g.b.CallerLeft(g.now, "j1", 1)
+	if n := len(messages[wire.Assign](g.settle())); n != 0 {
+		t.Errorf("%d assignments although the caller has left", n)
+	}
+}
+
+// Guards against an entry that has started behind a cut and takes requests that were held up by it
+// for new ones.
+func TestEntryThatStartsBehindACutIsAbsent(t *testing.T) {
+	g := newRig(t)
+	g.b.Tick(g.now)
+	g.now += outOfTouch
+	g.connect("a", "1")
+	g.connect("b", "1")
+	g.settle()
+	g.submit("j1", 1, 1)
+	if n := len(messages[wire.Assign](g.takeEffects())); n != 0 {
+		t.Errorf("%d assignments at once", n)
+	}
+	if n := len(messages[wire.Assign](g.settle())); n != 1 {
+		t.Errorf("%d assignments once a close would have arrived, want 1", n)
+	}
+}
+
+// Guards against a copy that counts as read when the runs of the earlier submission have ended,
+// although its caller may have left in an absence since.
+func TestPendingCopyOfACallerThatMayHaveLeftIsNotStarted(t *testing.T) {
+	g := newRig(t, "a", "b")
+	g.submit("j1", 1, 1)
+	m := messages[wire.Assign](g.takeEffects())[0]
+	g.report(m, wire.RunStarted, "")
+	g.b.CallerLeft(g.now, "j1", 1)
+	g.submit("j1", 2, 1)
+	g.now += outOfTouch
+	g.heartbeat("a", load(10_000))
+	g.heartbeat("b", load(10_000))
+	g.takeEffects()
+	g.report(m, wire.RunStopped, "entry-silent")
+	effects := append(g.takeEffects(), g.settle()...)
+	if n := len(messages[wire.Assign](effects)); n != 0 {
+		t.Errorf("%d assignments", n)
+	}
+	if a := answers(effects); len(a) != 1 || a[0].Waiter != 2 || a[0].Outcome.Kind != Unknown {
+		t.Errorf("answers %+v, want one of an unknown outcome", a)
+	}
+}
