--- a/internal/leased/status_test.go
+++ b/internal/leased/status_test.go
@@ -123,8 +123,9 @@
 		"?job=held&cpu=1":             {400, "input.bad_field", "cpu"},
 		"?job=held&queue=q":           {400, "input.bad_field", "job"},
 		"?queue=q&cpu=1&label=" + strings.Repeat("x", 200): {400, "input.bad_field", "label"},
-		"?queue=other&cpu=1":                               {404, "input.unknown_queue", "queue"},
-		"?job=0123456789abcdef":                            {404, "input.unknown_job", "job"},
+
+		"?queue=other&cpu=1":    {404, "input.unknown_queue", "queue"},
+		"?job=0123456789abcdef": {404, "input.unknown_job", "job"},
 	} {
 		var failure status.Failure
 		if code := get(t, entry.URL+"/explain"+query, &failure); code != want.code || failure.Error.Type != want.kind || failure.Error.Field != want.field || failure.Error.Message == "" {
