Show tasks of a job beside each other against its limit

Cause: a task that its agent has refused as live is not counted by atJobLimit while it waits to be offered again, and placeWhereLive does not ask atJobLimit. Nothing is fixed.

--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,6 +50,8 @@
 	changed chan struct{}
 	// silent is whether the upstream answers nothing, as one that is down without a word.
 	silent bool
+	// listTime is how long the upstream takes for a list of its runs.
+	listTime time.Duration
 	// onStart is called with each start, under the lock.
 	onStart func(u *upstream, task, spec string)
 }
@@ -282,6 +285,11 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if u.listTime > 0 {
+		u.mu.Unlock()
+		time.Sleep(u.listTime)
+		u.mu.Lock()
+	}
 	running := [][]any{}
 	for k := range u.runs {
 		running = append(running, []any{k.task, k.run, "", 50, 1})
@@ -293,6 +301,12 @@
 	answerJSON(w, http.StatusOK, map[string]any{"clock_ms": u.clock(), "born": u.bornAt.UnixMilli(), "running": running, "ended": ended})
 }
 
+// jobOf returns the job of a task.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // text returns the spec of a task.
 func (s spec) text() string {
 	data, err := json.Marshal(s)
