Show two runs of a task after a close that a short cut has lost

Cause: an entry learns only from the connection that a caller has left; a reset that is lost in a cut of 250 ms, too short to count as an absence, leaves its runs beside those of the copy.

--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -53,6 +53,11 @@
 	// runs counts the starts and ends of runs. With summary they are not recorded one by one.
 	runs    map[string]int
 	summary bool
+	// running counts the runs of each task that go on, twice the starts beside another run.
+	running map[string]int
+	twice   int
+	// relayed holds, by the address of an entry, that of the relay before its links.
+	relayed map[string]string
 }
 
 func newDeployment(recordPath string, trouble bool) (*deployment, error) {
@@ -67,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{trouble: trouble, folder: folder, begin: time.Now(), store: newStore(), file: file, nextHost: 10, runs: map[string]int{}}
+	d := &deployment{trouble: trouble, folder: folder, begin: time.Now(), store: newStore(), file: file, nextHost: 10, runs: map[string]int{}, running: map[string]int{}}
 	for range 50 {
 		d.network = fmt.Sprintf("127.%d.%d.", 20+rand.Intn(200), 1+rand.Intn(250))
 		if err = d.serve(d.storeAddress(), d.store); err == nil {
@@ -118,8 +123,28 @@
 		d.record("%s: run %s/%d %s", h.name, task, run, what)
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	beside := d.running[task]
 	d.runs[what]++
+	if what == "starts" {
+		d.running[task]++
+		if beside > 0 {
+			d.twice++
+		}
+	} else {
+		d.running[task]--
+		beside = 0
+	}
+	d.mu.Unlock()
+	if beside > 0 {
+		d.record("BROKEN: task %s starts on %s while another run of it goes on", task, h.name)
+	}
+}
+
+// ranTwice returns the number of starts beside another run of the same task.
+func (d *deployment) ranTwice() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.twice
 }
 
 func (d *deployment) runCounts() map[string]int {
@@ -268,7 +293,12 @@
 	for range entries {
 		h := d.newHost("entry")
 		hosts = append(hosts, h)
-		seeds = append(seeds, h.address(controlPort))
+		seed := h
+		if ip := d.relayed[h.ip]; ip != "" {
+			seed.ip = ip
+			d.store.replaced[h.address(firstPort)] = seed.address(firstPort)
+		}
+		seeds = append(seeds, seed.address(controlPort))
 	}
 	seeds = seeds[:min(len(seeds), 3)]
 	var fronts, sides []*process
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -28,9 +28,13 @@
 	ver     uint64
 	rows    []storeRow
 	changed chan struct{}
+	// replaced holds the addresses that rows name in place of others: those of relays.
+	replaced map[string]string
 }
 
-func newStore() *store { return &store{begin: time.Now(), changed: make(chan struct{})} }
+func newStore() *store {
+	return &store{begin: time.Now(), changed: make(chan struct{}), replaced: map[string]string{}}
+}
 
 func (r storeRow) sameKey(o storeRow) bool {
 	return r.Table == o.Table && r.Part == o.Part && r.Key == o.Key
@@ -60,6 +64,9 @@
 	}
 	for _, p := range append(slices.Clone(puts), removed...) {
 		p.Ver = &ver
+		for address, relay := range s.replaced {
+			p.Value = []byte(strings.ReplaceAll(string(p.Value), `"`+address+`"`, `"`+relay+`"`))
+		}
 		s.rows = slices.DeleteFunc(s.rows, func(o storeRow) bool { return o.sameKey(p) })
 		s.rows = append(s.rows, p)
 	}
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -48,8 +48,6 @@
 	ended   [][]any
 	number  int64
 	changed chan struct{}
-	// silent is whether the upstream answers nothing, as one that is down without a word.
-	silent bool
 	// listTime is how long the upstream takes for a list of its runs.
 	listTime time.Duration
 	// onStart is called with each start, under the lock.
@@ -74,21 +72,6 @@
 	u.d.record("%s: upstream %s is up with labels %v", u.host.name, id, labels)
 }
 
-// crash ends everything that runs, and makes the upstream silent.
-func (u *upstream) crash() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.d.record("%s: upstream %s crashes with %d runs", u.host.name, u.id, len(u.runs))
-	u.silent = true
-	u.runs = map[runKey]*run{}
-}
-
-func (u *upstream) wake() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.silent = false
-}
-
 func (u *upstream) clock() int64 { return time.Since(u.bornAt).Milliseconds() + 1000 }
 
 // live ends runs whose time has come and sends the heartbeats.
@@ -99,10 +82,6 @@
 	life := 0
 	for range tick.C {
 		u.mu.Lock()
-		if u.silent {
-			u.mu.Unlock()
-			continue
-		}
 		now := time.Now()
 		for k, r := range u.runs {
 			switch {
@@ -186,15 +165,6 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.silent {
-		life := u.life
-		u.mu.Unlock()
-		for u.dark(life) && r.Context().Err() == nil {
-			time.Sleep(2 * time.Millisecond)
-		}
-		u.mu.Lock()
-		panic(http.ErrAbortHandler)
-	}
 	if id := r.Header.Get("X-Expected-Instance"); id != "" && id != u.id {
 		answerJSON(w, http.StatusMisdirectedRequest, map[string]any{"clock_ms": u.clock(), "born": u.bornAt.UnixMilli()})
 		return
@@ -216,13 +186,6 @@
 	}
 }
 
-// dark reports whether the upstream is still down in the life in which a call arrived.
-func (u *upstream) dark(life int) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.silent && u.life == life
-}
-
 func (u *upstream) refuse(w http.ResponseWriter, reason string) {
 	answerJSON(w, http.StatusConflict, map[string]any{"clock_ms": u.clock(), "reason": reason, "born": u.bornAt.UnixMilli()})
 }
@@ -281,9 +244,6 @@
 		}
 		timer.Stop()
 		u.mu.Lock()
-		if u.silent {
-			panic(http.ErrAbortHandler)
-		}
 	}
 	if u.listTime > 0 {
 		u.mu.Unlock()
