--- a/review/harness2/caller.go
+++ b/review/harness2/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -83,4 +84,17 @@
 	return r.StatusCode, string(data), nil
 }
 
+// lossSlack is loss_slack_ms.
+const lossSlack = 200 * time.Millisecond
+
+// lost reports whether the connection has ended without a complete answer, later than lossSlack after
+// the request was sent. A client whose patience has ended is no such case.
+func (c *call) lost(status int, err error) bool {
+	var timeout net.Error
+	if status != 0 || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return false
+	}
+	return time.Since(c.sentAt) > lossSlack
+}
+
 func (c *call) close() { _ = c.conn.Close() }
