--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint check soak soak-platform soak-leases bench capacity dev dev-cluster bench-processes fuzz inforce clean
+.PHONY: build test test-clients lint check soak soak-platform soak-leases bench capacity dev dev-cluster bench-processes fuzz inforce clean
 
 build:
 	$(GO) build -o bin/damasklb ./cmd/damasklb
@@ -8,9 +8,16 @@
 # Names of the tests in KNOWN-RED.txt, as a pattern for -skip.
 KNOWN_RED := $(shell grep -v '^\#' KNOWN-RED.txt 2>/dev/null | cut -d'|' -f1 | sed 's/ *$$//' | sed '/^$$/d' | sed 's/.*/^&$$/' | paste -sd'|' -)
 
+# Tests that measure the memory of processes, which other tests must not run beside.
+CLIENT_TESTS := ^TestClientsWith|^TestLargestRequest
+
 # All tests with the race detector, fixed seeds, but for the known failures.
 test:
-	$(GO) test -race -count=1 -timeout 30m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
+	$(GO) test -race -count=1 -timeout 30m -skip '$(CLIENT_TESTS)$(if $(KNOWN_RED),|$(KNOWN_RED))' ./...
+
+# Crowds of clients against processes with little memory, one test at a time.
+test-clients:
+	$(GO) test -count=1 -p 1 -timeout 20m -run '$(CLIENT_TESTS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform/soak ./internal/e2e
 
 # The protocol under random failures for long, with a fresh seed.
 SOAK_STEPS ?= 20000000
@@ -33,7 +40,7 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-check: lint build test
+check: lint build test test-clients
 
 clean:
 	rm -rf bin
