--- a/internal/brokerapi/submission.go
+++ b/internal/brokerapi/submission.go
@@ -34,5 +34,14 @@
 	Timeout time.Duration
 }
 
+// taskBytes is the memory that an entry uses for a task, without its spec.
+const taskBytes = 512
+
+// Footprint returns the memory that a job may take at an entry: its spec is held once, and once more in
+// the message with each of its tasks until that is sent.
+func Footprint(specBytes, tasks int) int64 {
+	return int64(specBytes) + int64(tasks)*int64(taskBytes+specBytes)
+}
+
 // Waiter identifies a request that waits for a job's answer.
 type Waiter uint64
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,6 +1,7 @@
-// Package callerconn tells whether a caller has closed the connection of its request, as far as
-// the kernel knows. A process that was paused or is slow learns of a close late from its own
-// goroutines.
+// Package callerconn holds the connections of clients. It tells whether a caller has closed the
+// connection of its request, as far as the kernel knows: a process that was paused or is slow learns
+// of a close late from its own goroutines. And it applies the limits that package clientlimit
+// decides on, while requests arrive and until they are answered.
 package callerconn
 
 import (
@@ -39,17 +40,25 @@
 
 // peek reports whether a socket is open, or has data before its end.
 func peek(fd int) bool {
+	n, err := peekByte(fd)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return false
+	}
+	return err != nil || n > 0
+}
+
+// bytesWait reports whether a socket has unread data.
+func bytesWait(fd int) bool {
+	n, err := peekByte(fd)
+	return err == nil && n > 0
+}
+
+func peekByte(fd int) (int, error) {
 	var b [1]byte
 	for {
 		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-			continue
-		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
-			return false
-		case err != nil:
-			return true
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
 		}
-		return n > 0
 	}
 }
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -17,6 +17,7 @@
 
 	"github.com/damasklb/damasklb/internal/broker"
 	"github.com/damasklb/damasklb/internal/callerconn"
+	"github.com/damasklb/damasklb/internal/clientlimit"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/leased"
 	"github.com/damasklb/damasklb/internal/runner"
@@ -42,10 +43,6 @@
 	// trip of a few milliseconds. TCP retransmits a lost first packet only after a
 	// second.
 	dialTimeout = 400 * time.Millisecond
-	// headerTimeout and idleTimeout apply to connections of callers until a
-	// configuration sets other values.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 2 * time.Minute
 	// metricsPort is the port of the metrics on every host. The deploy file contains
 	// it as well.
 	metricsPort = 9464
@@ -176,6 +173,8 @@
 type platformProcess interface {
 	Drain(grace time.Duration)
 	Stop()
+	// ClientLimits returns the limits of clients in the configuration in force.
+	ClientLimits() callerconn.Limits
 	// Pages returns the handler of the metrics' address: the pages for operators, and rest.
 	Pages(rest http.Handler) http.Handler
 }
@@ -200,7 +199,8 @@
 		return err
 	}
 	pages := process.Pages(http.HandlerFunc(writeMetrics))
-	closeAll, err := serveAll(append(endpoints, endpoint{metricsAddress(s), pages}), log)
+	endpoints = append(endpoints, endpoint{metricsAddress(s), pages, clientlimit.ServiceConnections})
+	closeAll, err := serveAll(ctx, endpoints, s.Clients, process.ClientLimits, log)
 	if err != nil {
 		return err
 	}
@@ -248,7 +248,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return e, []endpoint{{s.CallerListen, platform.NewIngress(e, log)}, {s.ReadyListen, ready}}, nil
+	return e, []endpoint{
+		{s.CallerListen, platform.NewIngress(e, log), s.ClientConnections},
+		{s.ReadyListen, ready, clientlimit.ServiceConnections},
+	}, nil
 }
 
 func runPlatformAgent(ctx context.Context, env Env, path string) error {
@@ -267,7 +270,7 @@
 			newClient(s.Upstream, listConnections)),
 		Token: uint64(time.Now().UnixMilli()), Log: log,
 	})
-	return a, []endpoint{{s.AnnounceListen, platform.NewAnnouncementHandler(a, log).ForService(s.Service)}}, nil
+	return a, []endpoint{{s.AnnounceListen, platform.NewAnnouncementHandler(a, log).ForService(s.Service), clientlimit.ServiceConnections}}, nil
 }
 
 func metricsAddress(s platform.Settings) string {
@@ -280,22 +283,28 @@
 type endpoint struct {
 	address string
 	handler http.Handler
+	// connections is the largest number of open connections.
+	connections int
 }
 
-// serveAll serves all endpoints. The function that it returns shuts the servers down
+// serveAll serves all endpoints until ctx ends, whose clients share the limits. configured returns the
+// limits in the configuration in force. The function that it returns shuts the servers down
 // and waits, for closeTimeout at most, until the answers to all requests have been
 // written.
-func serveAll(endpoints []endpoint, log *slog.Logger) (closeAll func(), err error) {
+func serveAll(ctx context.Context, endpoints []endpoint, limits clientlimit.Settings, configured func() callerconn.Limits, log *slog.Logger) (closeAll func(), err error) {
 	var servers []*http.Server
+	var connections []int
 	for _, e := range endpoints {
-		listener, err := net.Listen("tcp", e.address)
+		connections = append(connections, e.connections)
+	}
+	guard := callerconn.NewGuard(ctx, limits, configured, log, connections...)
+	for i, e := range endpoints {
+		listener, err := guard.Listen(ctx, e.address, i)
 		if err != nil {
-			return nil, fault.Listen.Wrap(err, "listen on %s", e.address)
-		}
-		server := &http.Server{
-			Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: callerconn.ConnContext,
-			ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+			return nil, err
 		}
+		server := &http.Server{Handler: e.handler, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+		guard.Serve(server)
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/cli/platform_test.go
+++ b/internal/cli/platform_test.go
@@ -12,6 +12,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/damasklb/damasklb/internal/callerconn"
+	"github.com/damasklb/damasklb/internal/clientlimit"
 )
 
 // Guards against a process that ends before its last answers are sent: their callers
@@ -24,11 +27,11 @@
 	address := l.Addr().String()
 	l.Close()
 	entered := make(chan struct{})
-	closeAll, err := serveAll([]endpoint{{address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	closeAll, err := serveAll(t.Context(), []endpoint{{address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(entered)
 		time.Sleep(100 * time.Millisecond)
 		_, _ = io.WriteString(w, "whole")
-	})}}, slog.New(slog.DiscardHandler))
+	}), 10}}, clientlimit.DefaultSettings(1<<26), func() callerconn.Limits { return callerconn.Limits{} }, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -20,6 +20,8 @@
 	BadRequest = InputErrors.NewType("bad_request")
 	Usage      = InputErrors.NewType("usage")
 	TooLarge   = InputErrors.NewType("too_large")
+	// ClientLimit: the clients of the process together use what they may use.
+	ClientLimit = InputErrors.NewType("client_limit", errorx.Temporary())
 )
 
 // Platform failures. Unavailable means that the operation may or may not have
