--- a/internal/brokerapi/submission.go
+++ b/internal/brokerapi/submission.go
@@ -34,13 +34,13 @@
 	Timeout time.Duration
 }
 
-// taskBytes is the memory that an entry uses for a task, without its spec.
+// taskBytes is the memory that an entry uses for a task, without its texts.
 const taskBytes = 512
 
-// Footprint returns the memory that a job may take at an entry: its spec is held once, and once more in
+// Footprint returns the memory that a job may take at an entry: its texts are held once, and once more in
 // the message with each of its tasks until that is sent.
-func Footprint(specBytes, tasks int) int64 {
-	return int64(specBytes) + int64(tasks)*int64(taskBytes+specBytes)
+func Footprint(textBytes, tasks int) int64 {
+	return int64(textBytes) + int64(tasks)*int64(taskBytes+textBytes)
 }
 
 // Waiter identifies a request that waits for a job's answer.
