--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -127,14 +127,14 @@
 func (b *Broker) retainTask(now time.Duration, t *task) {
 	if !t.unplaced {
 		t.unplaced, t.unplacedAt = true, now
-		b.unplaced = append(b.unplaced, t)
+		b.unplaced.add(t)
 	}
 }
 
 func (b *Broker) releaseTask(t *task) {
 	if t.unplaced {
 		t.unplaced = false
-		b.unplaced = slices.DeleteFunc(b.unplaced, func(o *task) bool { return o == t })
+		b.unplaced.remove(t)
 	}
 }
 
@@ -146,7 +146,7 @@
 // agentReported places the retained tasks after an agent's heartbeat. Those that are left
 // out within unplacedInterval are placed by the next heartbeat or tick.
 func (b *Broker) agentReported(now time.Duration) {
-	if len(b.unplaced) > 0 && now-b.unplacedTriedAt >= unplacedInterval {
+	if b.unplaced.count > 0 && now-b.unplacedTriedAt >= unplacedInterval {
 		b.placeUnplaced(now)
 	}
 }
@@ -156,7 +156,7 @@
 func (b *Broker) placeUnplaced(now time.Duration) {
 	b.unplacedTriedAt = now
 	redecided := 0
-	for _, t := range slices.Clone(b.unplaced) {
+	for _, t := range slices.Collect(b.unplaced.all()) {
 		j := t.job
 		if !t.unplaced {
 			continue
--- a/internal/broker/agents.go
+++ b/internal/broker/agents.go
@@ -15,7 +15,7 @@
 	// key is the agent's key in Broker.agents: its host, or for a process that has
 	// ended, its host and incarnation.
 	key   string
-	tasks []*task
+	tasks taskList
 	// quarantined is whether the upstream is for quarantined queues.
 	quarantined bool
 	// suspects is the number of tasks whose attempt is a trial.
@@ -54,7 +54,7 @@
 		a = nil
 	}
 	if a == nil {
-		a = &agent{Agent: agentlink.Agent{ID: l.Agent, IntroducedAt: l.HelloReceivedAt}, key: l.Agent.Host}
+		a = &agent{Agent: agentlink.Agent{ID: l.Agent, IntroducedAt: l.HelloReceivedAt}, key: l.Agent.Host, tasks: taskList{kind: agentTasks}}
 		b.agents[a.key] = a
 		b.agentList = append(b.agentList, a)
 		b.updateQuarantine(now)
@@ -66,14 +66,14 @@
 	a.Evacuated = b.evacuations.Evacuated(a.DataCentre)
 	a.EvacuationsSentAt = 0
 	a.View.Reset()
-	if len(a.tasks) > 0 {
+	if a.tasks.count > 0 {
 		m := &wire.Resume{}
-		for _, t := range a.tasks {
+		for t := range a.tasks.all() {
 			m.Attempts = append(m.Attempts, t.attempt())
 		}
 		b.send(a, m)
 	}
-	for _, t := range a.tasks {
+	for t := range a.tasks.all() {
 		if t.withdrawn {
 			b.withdraw(now, t, t.onlyIfWaiting)
 		}
@@ -104,7 +104,7 @@
 	for _, c := range m.Crashes {
 		b.CrashReported(now, id.Host, c)
 	}
-	if len(a.tasks) > 0 || !m.Relaxed || now-a.ConfirmedAt >= idleAnswerInterval {
+	if a.tasks.count > 0 || !m.Relaxed || now-a.ConfirmedAt >= idleAnswerInterval {
 		b.confirm(now, a, &wire.EntryBeat{EchoMS: a.EchoMS})
 	}
 	if m.Load.Ready || m.Load.Evacuated {
@@ -154,7 +154,7 @@
 // runs have ended, the agent may have dropped their records and reports them as not
 // started.
 func (a *agent) assumeStarted() {
-	for _, t := range a.tasks {
+	for t := range a.tasks.all() {
 		t.job.started, t.job.cutShort = true, true
 	}
 }
@@ -163,7 +163,7 @@
 // wait is set, their runs may continue for a while, so the tasks are placed again
 // only later.
 func (b *Broker) loseTasks(now time.Duration, a *agent, reason string, wait bool) {
-	for _, t := range slices.Clone(a.tasks) {
+	for _, t := range slices.Collect(a.tasks.all()) {
 		b.emit(Decision{Job: t.job.sub.ID, Index: t.index, Run: t.run, Agent: a.ID.Host, Action: "lost", Reason: reason, ReportAge: now - a.HeartbeatAt})
 		t.job.started, t.job.cutShort = true, true
 		if wait {
@@ -185,7 +185,7 @@
 func (b *Broker) retainTasks(a *agent) {
 	a.Connected = false
 	b.removeAgent(a)
-	if len(a.tasks) > 0 {
+	if a.tasks.count > 0 {
 		a.key = a.ID.Host + "/" + a.ID.Incarnation
 		b.agents[a.key] = a
 		b.agentList = append(b.agentList, a)
@@ -218,8 +218,9 @@
 // detach removes a task from its agent.
 func (b *Broker) detach(t *task) {
 	a := t.agent
-	a.tasks = slices.DeleteFunc(a.tasks, func(o *task) bool { return o == t })
+	a.tasks.remove(t)
 	t.agent = nil
+	t.job.countPlaced(a, t, -1)
 	t.started = false
 	t.withdrawn = false
 	if t.trial != wire.TrialNone {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -45,7 +45,7 @@
 	// nextQuery is the position in agentList at which the next queries begin.
 	nextQuery int
 	// unplaced holds the tasks that wait for an agent that can take them.
-	unplaced []*task
+	unplaced taskList
 	// unplacedTriedAt is when the broker last tried to place them.
 	unplacedTriedAt time.Duration
 
@@ -80,6 +80,7 @@
 		settings: settings,
 		random:   rand.New(src),
 		jobs:     map[string]*job{},
+		unplaced: taskList{kind: heldTasks},
 		agents:   map[string]*agent{},
 		retained: map[string][]*agent{},
 		stats:    map[string]*runtimes.Stats{},
--- a/internal/broker/evacuation.go
+++ b/internal/broker/evacuation.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		a.Evacuated = !c.Deleted
-		for _, t := range slices.Clone(a.tasks) {
+		for _, t := range slices.Collect(a.tasks.all()) {
 			switch {
 			case t.started:
 				running++
@@ -121,7 +121,7 @@
 					s.UnawareHosts = append(s.UnawareHosts, a.ID.Host)
 				}
 			}
-			for _, t := range a.tasks {
+			for t := range a.tasks.all() {
 				if t.started {
 					s.Running++
 				}
--- a/internal/broker/explain.go
+++ b/internal/broker/explain.go
@@ -248,7 +248,7 @@
 	limit = min(limit, len(b.agentList))
 	for _, a := range b.agentList[:limit] {
 		s := a.Status(now, &b.settings.Limits)
-		s.Quarantined, s.Suspects, s.Tasks = a.quarantined, a.suspects, len(a.tasks)
+		s.Quarantined, s.Suspects, s.Tasks = a.quarantined, a.suspects, a.tasks.count
 		out = append(out, s)
 	}
 	return out, len(b.agentList) - limit
@@ -258,4 +258,4 @@
 func (b *Broker) CautiousQueues(now time.Duration) map[string]string { return b.poison.Cautions(now) }
 
 // HeldTasks returns the number of tasks that wait for an agent that can take them.
-func (b *Broker) HeldTasks() int { return len(b.unplaced) }
+func (b *Broker) HeldTasks() int { return b.unplaced.count }
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -28,6 +28,9 @@
 	requestedAt, heldUntil time.Duration
 	tasks                  []*task
 	openTasks              int
+	// placed counts the tasks that each agent has or that are planned for it, if a step limits
+	// them.
+	placed map[*agent]int
 	// started is whether a task has started or may have, startedEarlier the same of an earlier
 	// submission to this broker.
 	started, startedEarlier bool
@@ -68,9 +71,7 @@
 	runTime  time.Duration
 	failures int
 	// agent has the current attempt; nil if there is none.
-	agent *agent
-	// plannedFor is the key of the agent for which the plan under way has reserved capacity.
-	plannedFor string
+	agent      *agent
 	run        uint64
 	assignedAt time.Duration
 	seq        uint64
@@ -91,6 +92,8 @@
 	// unplaced is whether the task is in Broker.unplaced, unplacedAt since when.
 	unplaced   bool
 	unplacedAt time.Duration
+	// positions are those in the lists that have the task.
+	positions [listKinds]int
 	// trial is the trial of the current attempt, trialTime the run time that ends it.
 	trial     wire.Trial
 	trialTime time.Duration
@@ -246,7 +249,7 @@
 // whose withdrawal was lost would continue, because its entry confirms all runs.
 func (b *Broker) retryWithdrawals(now time.Duration) {
 	for _, a := range b.agentList {
-		for _, t := range a.tasks {
+		for t := range a.tasks.all() {
 			if t.withdrawn && now-t.withdrawnAt >= withdrawRetry {
 				b.withdraw(now, t, t.onlyIfWaiting)
 			}
--- a/internal/broker/locality.go
+++ b/internal/broker/locality.go
@@ -86,7 +86,7 @@
 // heldCPU returns the size of the tasks that are held for the task's rack before it.
 func (b *Broker) heldCPU(t *task) int {
 	sum := 0
-	for _, o := range b.unplaced {
+	for o := range b.unplaced.all() {
 		if o == t {
 			break
 		}
@@ -115,7 +115,7 @@
 	}
 	defer b.moveToFreeRackmate(now, a)
 	var waiting []*task
-	for _, t := range b.unplaced {
+	for t := range b.unplaced.all() {
 		if t.rack.Held() && a.onRack(t.rack.Key.Rack) {
 			waiting = append(waiting, t)
 		}
@@ -143,7 +143,7 @@
 		return
 	}
 	for _, o := range b.agentList {
-		for _, t := range o.tasks {
+		for t := range o.tasks.all() {
 			if o == a || t.rack == nil || !t.rack.Queued() || t.started || t.withdrawn || t.job.closing ||
 				now-t.assignedAt < minQueued || t.spec.CPU > free || !a.onRack(t.rack.Key.Rack) {
 				continue
--- a/internal/broker/locality_test.go
+++ b/internal/broker/locality_test.go
@@ -213,7 +213,7 @@
 	g.now += 3 * time.Millisecond
 	g.heartbeat("a", rackLoadOf("r1", 10_000))
 	g.b.Tick(g.now)
-	if effects := g.takeEffects(); len(messages[wire.Assign](effects)) != 0 || g.b.LiveJobs() != 0 || len(g.b.unplaced) != 0 {
+	if effects := g.takeEffects(); len(messages[wire.Assign](effects)) != 0 || g.b.LiveJobs() != 0 || g.b.unplaced.count != 0 {
 		t.Errorf("effects %+v with %d jobs, want none", effects, g.b.LiveJobs())
 	}
 }
--- a/internal/broker/place.go
+++ b/internal/broker/place.go
@@ -43,15 +43,27 @@
 	if t.spec.MaxPerUpstream == 0 {
 		return false
 	}
-	n := 0
-	for _, other := range t.job.tasks {
-		if other != t && (other.plannedFor == a.key || (other.agent != nil && other.agent.key == a.key)) {
-			n++
-		}
+	n := t.job.placed[a]
+	if t.agent == a {
+		n--
 	}
 	return n >= t.spec.MaxPerUpstream
 }
 
+// countPlaced counts a task that is planned for an agent or has left it, if the number of tasks on
+// an upstream is limited.
+func (j *job) countPlaced(a *agent, t *task, n int) {
+	if t.spec.MaxPerUpstream == 0 {
+		return
+	}
+	if j.placed == nil {
+		j.placed = map[*agent]int{}
+	}
+	if j.placed[a] += n; j.placed[a] == 0 {
+		delete(j.placed, a)
+	}
+}
+
 // candidate returns what speaks for and against the agent's upstream for the task. It draws
 // no random number.
 func (b *Broker) candidate(a *agent, t *task) placement.Candidate {
@@ -144,7 +156,8 @@
 func cancelPlan(placements []planned) {
 	for i := len(placements) - 1; i >= 0; i-- {
 		if a := placements[i].agent; a != nil {
-			placements[i].task.plannedFor = ""
+			t := placements[i].task
+			t.job.countPlaced(a, t, -1)
 			a.View.CancelLast()
 		}
 	}
@@ -153,7 +166,7 @@
 // reserve counts a task against the agent's free capacity until a report includes
 // it.
 func (a *agent) reserve(now time.Duration, t *task) {
-	t.plannedFor = a.key
+	t.job.countPlaced(a, t, 1)
 	d := t.demand()
 	d.Expected = t.rack.RunTime(t.expected)
 	t.seq = a.View.Reserve(now, d)
@@ -251,10 +264,10 @@
 	j := t.job
 	t.run = max(t.run, j.earlierLastRun) + 1
 	j.lastRun = max(j.lastRun, t.run)
-	t.agent, t.plannedFor = a, ""
+	t.agent = a
 	t.assignedAt = now
 	t.acceptedToWait = t.acceptedToWait || wait > 0
-	a.tasks = append(a.tasks, t)
+	a.tasks.add(t)
 	a.ConfirmedAt = now
 	m := &wire.Assign{
 		Attempt: t.attempt(), Service: j.sub.Queue.Service, Spec: j.sub.Spec,
@@ -287,7 +300,7 @@
 // free capacity.
 func (b *Broker) moveWaiting(now time.Duration) {
 	for _, a := range b.agentList {
-		for _, t := range a.tasks {
+		for t := range a.tasks.all() {
 			if t.started || t.withdrawn || now-t.assignedAt < moveAfter || t.job.closing {
 				continue
 			}
@@ -320,7 +333,7 @@
 		if !a.View.Load.Stuck {
 			continue
 		}
-		for _, t := range a.tasks {
+		for t := range a.tasks.all() {
 			if !t.started || t.withdrawn || now-t.startedAt < t.reassignAfter(now) || t.job.closing {
 				continue
 			}
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -78,7 +78,7 @@
 		return
 	}
 	c := wire.UpstreamCrash{StartMS: before}
-	for _, t := range earlier.tasks {
+	for t := range earlier.tasks.all() {
 		if t.started {
 			c.Runs = append(c.Runs, wire.CrashedRun{Attempt: t.attempt(), Queue: t.job.sub.Queue.Name})
 		}
@@ -127,7 +127,7 @@
 		return allowed, penalty
 	}
 	other := a.View.Load.Trial
-	for _, o := range a.tasks {
+	for o := range a.tasks.all() {
 		switch trial := o.trialAt(now); {
 		case o.job != t.job:
 			other = max(other, trial)
