--- a/internal/broker/admit.go
+++ b/internal/broker/admit.go
@@ -34,21 +34,12 @@
 	return b.stats[queue]
 }
 
-// longestExpected returns the expected run time of the job's longest task.
-func (j *job) longestExpected() time.Duration {
-	var most time.Duration
-	for _, t := range j.tasks {
-		most = max(most, t.expected)
-	}
-	return most
-}
-
 // slack returns how long the job's tasks may wait so that the job still ends
 // within the response time that its caller expects. A job that is late anyway keeps enough to
 // start where capacity is free at once.
 func (j *job) slack() time.Duration {
 	q := j.sub.Queue
-	s := time.Duration((q.Stretch-1)*float64(j.longestExpected())) + q.LatencyTarget - overhead - j.waited
+	s := time.Duration((q.Stretch-1)*float64(j.longestExpected)) + q.LatencyTarget - overhead - j.waited
 	return max(s, 5*time.Millisecond)
 }
 
@@ -56,7 +47,7 @@
 // ends within the response time that its caller expects.
 func (j *job) timeLeft(now time.Duration) time.Duration {
 	q := j.sub.Queue
-	return j.arrived - j.waited + time.Duration(q.Stretch*float64(j.longestExpected())) + q.LatencyTarget - overhead - now
+	return j.arrived - j.waited + time.Duration(q.Stretch*float64(j.longestExpected)) + q.LatencyTarget - overhead - now
 }
 
 // startLimit returns the time after a job's arrival at which it is refused if it
--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -28,6 +28,8 @@
 	requestedAt, heldUntil time.Duration
 	tasks                  []*task
 	openTasks              int
+	// longestExpected is the expected run time of the longest task.
+	longestExpected time.Duration
 	// placed counts the tasks that each agent has or that are planned for it, if a step limits
 	// them.
 	placed map[*agent]int
@@ -178,7 +180,9 @@
 	j := &job{sub: sub, stats: stats, arrived: now, openTasks: len(sub.Tasks)}
 	for i, spec := range sub.Tasks {
 		spec.Estimate = min(spec.Estimate, brokerapi.MaxEstimate)
-		j.tasks = append(j.tasks, &task{job: j, index: i, spec: spec, expected: stats.Expected(spec.Estimate),
+		expected := stats.Expected(spec.Estimate)
+		j.longestExpected = max(j.longestExpected, expected)
+		j.tasks = append(j.tasks, &task{job: j, index: i, spec: spec, expected: expected,
 			rack: racks.NewTask(sub.Queue.Name, locality.Key{Service: sub.Queue.Service, Rack: spec.PreferredRack}, spec.CPU)})
 	}
 	return j
--- a/internal/broker/scarcity.go
+++ b/internal/broker/scarcity.go
@@ -12,7 +12,7 @@
 const snapshotInterval = 10 * time.Millisecond
 
 func (j *job) demand() scarcity.Job {
-	return scarcity.Job{Queue: j.sub.Queue.Name, Priority: j.sub.Queue.Priority, Expected: j.longestExpected()}
+	return scarcity.Job{Queue: j.sub.Queue.Name, Priority: j.sub.Queue.Priority, Expected: j.longestExpected}
 }
 
 // countArrival handles the arrival of a job as far as admission under scarcity is concerned.
