--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -427,7 +427,12 @@
 		return
 	}
 	b.emit(Decision{Job: j.sub.ID, Index: t.index, Run: m.Attempt.Run, Agent: a.ID.Host, Action: "not-started", Reason: m.Reason})
-	if m.Reason == reasons.TooLate && !j.started && !j.closing {
+	if m.Reason == reasons.NoMemory && j.started && !j.closing && !t.done {
+		// The agent would refuse it again at once.
+		b.retainTask(now, t)
+		return
+	}
+	if (m.Reason == reasons.TooLate || m.Reason == reasons.NoMemory) && !j.started && !j.closing {
 		b.close(now, j, Outcome{Kind: Refused, Reason: "overload", RetryAfter: b.retryAfter(j)})
 		return
 	}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -54,6 +54,9 @@
 	// heapShare is the share of the host's memory that is set as the runtime's memory
 	// limit, near which the garbage collector runs more often.
 	heapShare = 0.6
+	// specShare is the share of an agent's memory for the specs of tasks that have not started. A
+	// spec takes several times its length while it is read and passed on.
+	specShare = 0.1
 	mebibyte  = 1 << 20
 	// gcPercent is the growth of the heap between two collections, in percent. Heaps
 	// here are a few megabytes, and memory costs more than the time to collect them.
@@ -125,6 +128,7 @@
 	r := runner.DefaultSettings(s.ResendAfter, s.MaxLease)
 	r.DataCentre, r.EvacuateWithin = s.DataCentre, s.EvacuateWithin
 	r.Preemption = s.Preemption
+	r.MaxSpecBytes = int(specShare * float64(s.MemoryMB) * mebibyte)
 	return r
 }
 
--- a/internal/reasons/reasons.go
+++ b/internal/reasons/reasons.go
@@ -12,6 +12,8 @@
 	Live = "task-is-live"
 	// NoRoom is the reason for not starting a task that would have had to wait.
 	NoRoom = "no-room"
+	// NoMemory is the reason for not taking a task whose spec exceeds the agent's memory for them.
+	NoMemory = "no-memory"
 	// TooLarge is the reason for not running a task that exceeds the capacity.
 	TooLarge = "too-large"
 	// TooLate is the reason for a task whose start deadline has passed.
--- a/internal/runner/attempt.go
+++ b/internal/runner/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damasklb/damasklb/internal/invariant"
+	"github.com/damasklb/damasklb/internal/reasons"
 	"github.com/damasklb/damasklb/internal/wire"
 )
 
@@ -74,6 +75,8 @@
 	// list and renewal, when the attempt ended.
 	endedUpstream     UpstreamID
 	listAge, leaseAge time.Duration
+	// retainsSpec is whether the spec counts in Runner.specBytes.
+	retainsSpec bool
 	// charged is the core time that was charged to the budget when it was preempted.
 	charged time.Duration
 }
@@ -137,6 +140,12 @@
 		r.finish(now, a, wire.RunNotStarted, "trial-limit", 0)
 		return
 	}
+	if !r.specFits(len(m.Spec)) {
+		r.finish(now, a, wire.RunNotStarted, reasons.NoMemory, 0)
+		return
+	}
+	r.specBytes += len(m.Spec)
+	a.retainsSpec = true
 	if m.OnlyIfFits && !(r.leaseRenewable(now) && r.fits(now, a) && r.queue.goesFirst(a) && !(r.health.suspect && r.Running() > 0)) {
 		r.finish(now, a, wire.RunNotStarted, "no-room", 0)
 		return
@@ -312,6 +321,7 @@
 	if a == nil || !a.occupies() || (answer.SentAt > 0 && answer.SentAt != a.startSentAt) {
 		return
 	}
+	r.dropSpec(a)
 	clockAgrees := r.lease.clockAgrees(a.startSentAt, answer.ClockMS)
 	if answer.ClockMS > 0 && a.startedFor == r.upstreamID() {
 		r.SetClock(now, answer.ClockMS)
@@ -407,6 +417,7 @@
 		r.usedMem -= a.assign.MemMB
 	}
 	r.queue.remove(a)
+	r.dropSpec(a)
 	a.phase = phaseEnded
 	a.state = state
 	a.reason = reason
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -63,6 +63,8 @@
 	// EvacuateWithin is the time from an operator's request to evacuate a data centre after
 	// which no task may start there; 0 means that there are no such requests.
 	EvacuateWithin time.Duration
+	// MaxSpecBytes bounds the specs of the tasks that wait or are being started; 0 means no limit.
+	MaxSpecBytes int
 	// NoSpeed keeps the agent from reporting the speed of its type of host.
 	NoSpeed bool
 	// Preemption are the limits of stops for more urgent work.
@@ -154,6 +156,8 @@
 	foreign map[wire.LeasedAttempt]*foreignRun
 
 	usedCPU, usedMem int
+	// specBytes is the length of the specs that are retained.
+	specBytes int
 
 	lease  leaseState
 	health health
