--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -15,6 +18,28 @@
 	"github.com/damasklb/damasklb/internal/signals"
 )
 
+const (
+	// minMemoryMB is the least memory with which an entry serves ordinary load.
+	minMemoryMB = 64
+	// ownHeapShare is the share of the memory that is set as the runtime's memory limit. It leaves
+	// some for stacks and for the buffers of links.
+	ownHeapShare = 0.8
+)
+
+// descriptorLimit returns the number of descriptors that the process may have, or 0 if it is not
+// known.
+func descriptorLimit(log *slog.Logger) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		log.Warn("limit of descriptors not known", "error", err)
+		return 0
+	}
+	return int(min(limit.Cur, maxDescriptors))
+}
+
+// maxDescriptors is above what one process uses.
+const maxDescriptors = 1 << 20
+
 func newEntry(env Env) *ffcli.Command {
 	fs := newFlagSet("entry", env)
 	host := fs.String("host", "", "name of this host, also the name in its certificate")
@@ -25,6 +50,7 @@
 	httpAddress := fs.String("http-address", "", "TCP address that others use (default: the bound address)")
 	table := fs.String("table-url", "", "URL of the platform's table service")
 	keys := fs.String("keys", "", "directory with ca.crt and this host's entry certificate")
+	memory := fs.Int("memory-mb", entry.DefaultMemory/mebibyte, "memory of the process in `MB`, from which the limits of clients follow")
 	dev := fs.Bool("dev", false, "plain HTTP, and callers are named by the Damasklb-Caller header; for tests only")
 	drainDelay := fs.Duration("drain-delay", 3*time.Second, "time after SIGTERM in which requests are still accepted")
 	limit := fs.Duration("shutdown-limit", 70*time.Second, "longest graceful shutdown")
@@ -40,6 +66,10 @@
 			if *host == "" || *table == "" || *keys == "" {
 				return fault.Usage.New("entry: --host, --table-url and --keys are needed")
 			}
+			if *memory < minMemoryMB {
+				return fault.Usage.New("entry: --memory-mb is %d, allowed are %d and more", *memory, minMemoryMB)
+			}
+			debug.SetMemoryLimit(int64(ownHeapShare * float64(*memory) * mebibyte))
 			files := pki.FilesOf(*keys, pki.RoleEntry, *host)
 			serverTLS, err := pki.ServerConfig(files, pki.RoleEntry, pki.RoleAgent)
 			if err != nil {
@@ -54,6 +84,7 @@
 				LinkListen: *linkListen, LinkAddress: *linkAddress, HTTPListen: *httpListen, HTTPAddress: *httpAddress,
 				Table: platform.NewHTTPTable(*table, nil), LinkServerTLS: serverTLS, LinkClientTLS: clientTLS,
 				Dev: *dev, Settings: owner.DefaultSettings(), DrainDelay: *drainDelay, Log: log,
+				Memory: int64(*memory) * mebibyte, Descriptors: descriptorLimit(log),
 			}
 			if !*dev {
 				if o.HTTPServerTLS, err = pki.OptionalCertServerConfig(files, pki.RoleCaller, pki.RoleOperator); err != nil {
--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strings"
@@ -44,24 +45,43 @@
 	return open
 }
 
+// Guards against processes that exceed their memory by large jobs that are submitted whole.
+func TestClientsWithWholeJobsStayWithinMemory(t *testing.T) {
+	payload := `{"payload":{"sleep_ms":10,"pad":"` + strings.Repeat("x", 250_000) + `"}}`
+	body := `{"class":"echo","deadline_ms":10000,"tasks":[` + strings.Repeat(payload+",", 3) + payload + `]}`
+	withstand(t, 100, func(c net.Conn, round, i int) {
+		// The entry may refuse the request and close the connection.
+		_, _ = fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: e\r\nDamasklb-Caller: tester\r\nIdempotency-Key: whole-%d-%d\r\nContent-Length: %d\r\n\r\n%s",
+			round, i, len(body), body)
+		_, _ = io.Copy(io.Discard, io.LimitReader(c, 1))
+	})
+}
+
 // Guards against an entry that exceeds its memory because of clients that send large bodies up to
 // just before their end.
 func TestClientsWithUnfinishedJobsStayWithinMemory(t *testing.T) {
+	const length = 1 << 20
+	body := `{"class":"c","deadline_ms":60000,"tasks":[{"payload":"` + strings.Repeat("x", length-100)
+	withstand(t, 300, func(c net.Conn, round, i int) {
+		// The entry may refuse the request and close the connection.
+		_, _ = fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: e\r\nDamasklb-Caller: tester\r\nIdempotency-Key: open-%d-%d\r\nContent-Length: %d\r\n\r\n%s",
+			round, i, length, body)
+	})
+}
+
+// withstand checks that an entry and its agents stay within their memory under clients that come
+// twice and send the same request each, and serve an ordinary request beside them and afterwards.
+func withstand(t *testing.T, clients int, send func(c net.Conn, round, i int)) {
+	t.Helper()
 	program, err := rig.BuildProgram(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("DAMASKLB_MEMORY_MB", fmt.Sprint(clientsMemoryMB))
 	r := start(t, func(o *rig.Options) { o.Entries, o.Agents, o.Binary = 1, 2, program })
-	const length = 1 << 20
-	body := `{"class":"c","deadline_ms":60000,"tasks":[{"payload":"` + strings.Repeat("x", length-100)
 	sampler := rig.StartSampler(slices.Concat(r.Entries, r.Agents))
 	for round := range 2 {
-		open := holdOpen(r.Entries[0].Address, 300, func(c net.Conn, i int) {
-			// The entry may refuse the request and close the connection.
-			_, _ = fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: e\r\nDamasklb-Caller: tester\r\nIdempotency-Key: open-%d-%d\r\nContent-Length: %d\r\n\r\n%s",
-				round, i, length, body)
-		})
+		open := holdOpen(r.Entries[0].Address, clients, func(c net.Conn, i int) { send(c, round, i) })
 		if a := submit(r.URLs()[0], fmt.Sprint("beside-", round), jobBody(1, 0, 10*time.Second)); a.status != 200 {
 			t.Errorf("beside the crowd: status %d, body %s, error %v", a.status, a.body, a.err)
 		}
--- /dev/null
+++ b/internal/entry/clients.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/damasklb/damasklb/internal/callerconn"
+	"github.com/damasklb/damasklb/internal/clientlimit"
+	"github.com/damasklb/damasklb/internal/fault"
+	"github.com/damasklb/damasklb/internal/owner"
+)
+
+// newGuard returns the guard of the callers' connections.
+func (e *Entry) newGuard() *callerconn.Guard {
+	memory := e.opts.Memory
+	if memory == 0 {
+		memory = DefaultMemory
+	}
+	s := clientlimit.DefaultSettings(memory)
+	s.HeadBytes, s.HeadTimeout, s.IdleTimeout = maxHeaderBytes, readTimeout, idleTimeout
+	return callerconn.NewGuard(e.ctx, s, func() callerconn.Limits { return callerconn.Limits{} }, e.opts.Log,
+		clientlimit.DefaultConnections(memory, e.opts.Descriptors))
+}
+
+// refuseUnread answers a request that cannot be read.
+func refuseUnread(w http.ResponseWriter, err error) {
+	if errorx.IsOfType(err, fault.ClientLimit) {
+		requestsTotal("client_limit").Inc()
+		// An earlier copy of the request may have run.
+		writeAnswer(w, owner.ProblemAnswer(owner.ProblemClientLimit, "", fault.Text(err), false, 0, clientlimit.RetryAfter))
+		return
+	}
+	requestsTotal("bad_request").Inc()
+	writeAnswer(w, owner.ProblemAnswer(owner.ProblemBadRequest, "", fault.Text(err), true, 0, 0))
+}
+
+// footprint returns the memory that a job takes at an entry until it is answered: the payloads, and a
+// copy of each in the messages to the witness and to an agent.
+func (s *submission) footprint() int64 {
+	const copies = 3
+	var n int64
+	for _, p := range s.Payloads {
+		n += int64(len(p))
+	}
+	return copies * n
+}
+
+// hold asks for the memory of a job.
+func hold(r *http.Request, s submission) error {
+	if !callerconn.Hold(r.Context(), s.footprint()) {
+		return fault.ClientLimit.New("no memory for a job of %d bytes", s.footprint())
+	}
+	return nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,7 +18,6 @@
 	"github.com/damasklb/damasklb/internal/configstore"
 	"github.com/damasklb/damasklb/internal/dispatch"
 	"github.com/damasklb/damasklb/internal/evacuation"
-	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/gate"
 	"github.com/damasklb/damasklb/internal/malformed"
 	"github.com/damasklb/damasklb/internal/membership"
@@ -52,9 +51,16 @@
 	// DrainDelay is how long a draining entry still accepts requests, so that
 	// load balancers notice that it is no longer ready.
 	DrainDelay time.Duration
-	Log        *slog.Logger
+	// Memory is the memory of the process in bytes, from which the limits of its clients follow;
+	// 0 stands for DefaultMemory. Descriptors is the number of its descriptors; 0 if not known.
+	Memory      int64
+	Descriptors int
+	Log         *slog.Logger
 }
 
+// DefaultMemory is the memory of a process for which none is set.
+const DefaultMemory = 1 << 30
+
 const (
 	tickInterval = 10 * time.Millisecond
 	// eventQueueSize bounds the events that wait for the core.
@@ -153,10 +159,12 @@
 	e.diallers = transport.NewDiallers(func(id, address string) *transport.Dialler {
 		return endpoint.Maintain(id, address, alwaysBusy, nil)
 	})
-	e.listener, err = net.Listen("tcp", o.HTTPListen)
+	guard := e.newGuard()
+	e.listener, err = guard.Listen(e.ctx, o.HTTPListen, 0)
 	if err != nil {
+		e.cancel()
 		endpoint.Close()
-		return nil, fault.Listen.Wrap(err, "open HTTP address %q", o.HTTPListen)
+		return nil, err
 	}
 	self := membership.Member{
 		ID: o.ID, Host: o.Host, DataCentre: o.DataCentre,
@@ -165,6 +173,7 @@
 	policy := dispatch.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	e.core = owner.New(self, o.Settings, policy, 0)
 	e.server = newServer(e.handler(), o.HTTPServerTLS)
+	guard.Serve(e.server)
 	e.wg.Add(5)
 	go e.expireAgentRows()
 	go e.configLoop()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/damasklb/damasklb/internal/auth"
+	"github.com/damasklb/damasklb/internal/callerconn"
 	"github.com/damasklb/damasklb/internal/config"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/owner"
@@ -61,8 +62,11 @@
 }
 
 func newServer(h http.Handler, t *tls.Config) *http.Server {
+	// The limits of clients count one request at a time on each connection.
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
 	return &http.Server{
-		Handler: h, TLSConfig: t, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
+		Handler: h, TLSConfig: t, Protocols: &protocols, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
@@ -117,10 +121,12 @@
 	if !ok {
 		return
 	}
-	s, err := parseSubmission(w, r, caller)
+	s, err := parseSubmission(r, caller)
+	if err == nil {
+		err = hold(r, s)
+	}
 	if err != nil {
-		requestsTotal("bad_request").Inc()
-		writeAnswer(w, owner.ProblemAnswer(owner.ProblemBadRequest, "", fault.Text(err), true, 0, 0))
+		refuseUnread(w, err)
 		return
 	}
 	e.waitForReady(&s)
@@ -287,17 +293,20 @@
 }
 
 // parseSubmission validates a request's header and body.
-func parseSubmission(w http.ResponseWriter, r *http.Request, caller string) (submission, error) {
-	var s submission
+func parseSubmission(r *http.Request, caller string) (s submission, err error) {
 	key := r.Header.Get(headerIdempotencyKey)
 	if err := checkKey(key); err != nil {
 		return s, err
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := callerconn.ReadBody(r, maxBodyBytes)
 	if err != nil {
-		return s, fault.TooLarge.New("the body cannot be read or is larger than %d bytes", maxBodyBytes)
+		return s, err
 	}
-	return parseBody(raw, caller, key)
+	err = body.Decode(func(raw []byte) (err error) {
+		s, err = parseBody(raw, caller, key)
+		return err
+	})
+	return s, err
 }
 
 func checkKey(key string) error {
--- a/internal/owner/answers.go
+++ b/internal/owner/answers.go
@@ -21,6 +21,7 @@
 	ProblemImpossible      Problem = "can-never-run"
 	ProblemOverQuota       Problem = "over-quota"
 	ProblemOverload        Problem = "overload"
+	ProblemClientLimit     Problem = "client-limit"
 	ProblemNoUpstream      Problem = "no-upstream"
 	ProblemQuietHours      Problem = "quiet-hours"
 	ProblemEvacuated       Problem = "evacuated"
@@ -84,6 +85,7 @@
 	ProblemImpossible:      {http.StatusUnprocessableEntity, "The job can never run", StateRefused},
 	ProblemOverQuota:       {http.StatusTooManyRequests, "The caller is over its quota", StateRefused},
 	ProblemOverload:        {http.StatusServiceUnavailable, "The job would not end before its deadline", StateRefused},
+	ProblemClientLimit:     {http.StatusServiceUnavailable, "The requests of all callers use the memory for them", StateRefused},
 	ProblemNoUpstream:      {http.StatusServiceUnavailable, "No upstream serves the class now", StateRefused},
 	ProblemQuietHours:      {http.StatusServiceUnavailable, "All sites of the class are in their quiet hours", StateRefused},
 	ProblemEvacuated:       {http.StatusServiceUnavailable, "All data centres that serve the class are being evacuated", StateRefused},
