--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 KNOWN_RED := $(shell grep -v '^\#' KNOWN-RED.txt 2>/dev/null | cut -d'|' -f1 | sed 's/ *$$//' | sed '/^$$/d' | sed 's/.*/^&$$/' | paste -sd'|' -)
 
 # Tests that measure the memory of processes, which other tests must not run beside.
-CLIENT_TESTS := ^TestClients[WO]|^TestLargestRequest
+CLIENT_TESTS := ^TestClients|^TestLargestRequest
 
 # All tests with the race detector, fixed seeds, but for the known failures.
 test:
