--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -45,6 +46,9 @@
 }
 
 func (b *Body) read(r *http.Request, limit int64) error {
+	if r.ContentLength == 0 {
+		return nil
+	}
 	if r.ContentLength > limit {
 		return fault.TooLarge.New("body of %d bytes, allowed are %d", r.ContentLength, limit)
 	}
@@ -129,7 +133,10 @@
 // for others that are being decoded.
 func (b *Body) Decode(f func(data []byte) error) error {
 	defer b.Release()
-	if len(b.pieces) == 1 {
+	switch len(b.pieces) {
+	case 0:
+		return f(nil)
+	case 1:
 		return f(b.pieces[0][:b.length])
 	}
 	if b.conn != nil && b.length > maxUndelayed {
@@ -152,6 +159,9 @@
 	b.pieces = nil
 }
 
+// RetryAfter returns the time after which a client may come back that was refused for a limit.
+func RetryAfter() time.Duration { return clientlimit.RetryAfter(rand.Float64()) }
+
 // Hold asks for the memory that a request takes until it is answered. It returns false if the
 // request has to be refused.
 func Hold(ctx context.Context, bytes int64) bool {
--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -89,7 +89,7 @@
 // another or ahead of the answers.
 func TestConnectionServesSeveralRequests(t *testing.T) {
 	e := dial(t, serveGuarded(t, clientlimit.DefaultSettings(1<<26), 1<<20))
-	for _, n := range []int{10, 5000, 100_000} {
+	for _, n := range []int{0, 10, 4096, 5000, 100_000} {
 		e.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n))
 		if _, body := e.answer(); body != fmt.Sprint(n, n) {
 			t.Errorf("answer %q to %d bytes", body, n)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/damasklb/damasklb/internal/clientlimit"
 	"github.com/damasklb/damasklb/internal/entry"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/owner"
@@ -50,7 +51,7 @@
 	httpAddress := fs.String("http-address", "", "TCP address that others use (default: the bound address)")
 	table := fs.String("table-url", "", "URL of the platform's table service")
 	keys := fs.String("keys", "", "directory with ca.crt and this host's entry certificate")
-	memory := fs.Int("memory-mb", entry.DefaultMemory/mebibyte, "memory of the process in `MB`, from which the limits of clients follow")
+	memory := fs.Int("memory-mb", clientlimit.DefaultMemory/mebibyte, "memory of the process in `MB`, from which the limits of clients follow")
 	dev := fs.Bool("dev", false, "plain HTTP, and callers are named by the Damasklb-Caller header; for tests only")
 	drainDelay := fs.Duration("drain-delay", 3*time.Second, "time after SIGTERM in which requests are still accepted")
 	limit := fs.Duration("shutdown-limit", 70*time.Second, "longest graceful shutdown")
--- a/internal/clientlimit/account_test.go
+++ b/internal/clientlimit/account_test.go
@@ -11,7 +11,7 @@
 func always(ID) bool { return true }
 
 func testSettings(bytes int64) Settings {
-	s := DefaultSettings(0)
+	s := DefaultSettings(1)
 	s.Bytes = bytes
 	return s
 }
--- a/internal/clientlimit/settings.go
+++ b/internal/clientlimit/settings.go
@@ -41,18 +41,28 @@
 	// the load balancer's checks.
 	ServiceConnections = 64
 
-	// RetryAfter is the time after which a refused client may come back. Memory becomes free within
-	// the time of a few requests.
-	RetryAfter = 2 * time.Second
+	// minRetryAfter is the shortest time after which a refused client may come back. Memory becomes
+	// free within the time of a few requests.
+	minRetryAfter = time.Second
 
 	// MinBytes is the least of Settings.Bytes with which ordinary requests are served.
 	MinBytes = 1 << 20
 )
 
-// DefaultSettings returns the limits for a process with the given memory.
+// DefaultMemory is the memory of a process for which none is set.
+const DefaultMemory = 1 << 30
+
+func memoryOrDefault(memory int64) float64 {
+	if memory <= 0 {
+		return DefaultMemory
+	}
+	return float64(memory)
+}
+
+// DefaultSettings returns the limits for a process with the given memory; 0 stands for DefaultMemory.
 func DefaultSettings(memory int64) Settings {
 	return Settings{
-		Bytes:       max(int64(requestShare*float64(memory)), MinBytes),
+		Bytes:       max(int64(requestShare*memoryOrDefault(memory)), MinBytes),
 		BodyTimeout: 10 * time.Second,
 		HeadBytes:   16 << 10,
 		HeadTimeout: 3 * time.Second,
@@ -61,15 +71,21 @@
 }
 
 // DefaultConnections returns the number of callers' connections that a process with the given memory and
-// descriptors may have; 0 descriptors means that their number is not known.
+// descriptors may have. 0 stands for DefaultMemory, and for descriptors whose number is not known.
 func DefaultConnections(memory int64, descriptors int) int {
-	most := int(connectionShare * float64(memory) / connectionBytes)
+	most := int(connectionShare * memoryOrDefault(memory) / connectionBytes)
 	if descriptors > 0 {
 		most = min(most, int(descriptorShare*float64(descriptors-fileDescriptors)))
 	}
 	return max(most, 1)
 }
 
+// RetryAfter returns the time after which a refused client may come back, which differs by the random
+// number from 0 to 1, so that clients do not come back together.
+func RetryAfter(random float64) time.Duration {
+	return minRetryAfter + time.Duration(random*float64(minRetryAfter))
+}
+
 // Validate checks the settings.
 func (s Settings) Validate() error {
 	switch {
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -11,16 +11,16 @@
 	"github.com/damasklb/damasklb/internal/owner"
 )
 
+// maxHandshakeBytes is the size of a TLS handshake with a chain of certificates, which arrives before
+// the first head.
+const maxHandshakeBytes = 16 << 10
+
 // newGuard returns the guard of the callers' connections.
 func (e *Entry) newGuard() *callerconn.Guard {
-	memory := e.opts.Memory
-	if memory == 0 {
-		memory = DefaultMemory
-	}
-	s := clientlimit.DefaultSettings(memory)
-	s.HeadBytes, s.HeadTimeout, s.IdleTimeout = maxHeaderBytes, readTimeout, idleTimeout
+	s := clientlimit.DefaultSettings(e.opts.Memory)
+	s.HeadBytes, s.HeadTimeout, s.IdleTimeout = maxHeaderBytes+maxHandshakeBytes, readTimeout, idleTimeout
 	return callerconn.NewGuard(e.ctx, s, func() callerconn.Limits { return callerconn.Limits{} }, e.opts.Log,
-		clientlimit.DefaultConnections(memory, e.opts.Descriptors))
+		clientlimit.DefaultConnections(e.opts.Memory, e.opts.Descriptors))
 }
 
 // refuseUnread answers a request that cannot be read.
@@ -28,7 +28,7 @@
 	if errorx.IsOfType(err, fault.ClientLimit) {
 		requestsTotal("client_limit").Inc()
 		// An earlier copy of the request may have run.
-		writeAnswer(w, owner.ProblemAnswer(owner.ProblemClientLimit, "", fault.Text(err), false, 0, clientlimit.RetryAfter))
+		writeAnswer(w, owner.ProblemAnswer(owner.ProblemClientLimit, "", fault.Text(err), false, 0, callerconn.RetryAfter()))
 		return
 	}
 	requestsTotal("bad_request").Inc()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,15 +52,13 @@
 	// load balancers notice that it is no longer ready.
 	DrainDelay time.Duration
 	// Memory is the memory of the process in bytes, from which the limits of its clients follow;
-	// 0 stands for DefaultMemory. Descriptors is the number of its descriptors; 0 if not known.
+	// 0 stands for clientlimit.DefaultMemory. Descriptors is the number of its descriptors; 0 if
+	// not known.
 	Memory      int64
 	Descriptors int
 	Log         *slog.Logger
 }
 
-// DefaultMemory is the memory of a process for which none is set.
-const DefaultMemory = 1 << 30
-
 const (
 	tickInterval = 10 * time.Millisecond
 	// eventQueueSize bounds the events that wait for the core.
