--- a/internal/clientlimit/account.go
+++ b/internal/clientlimit/account.go
@@ -278,24 +278,16 @@
 	return Granted
 }
 
-// finish makes a request whole, unless there are too many large ones.
+// finish makes a request whole, unless it is large and there are too many of these.
 func (a *Account) finish(c *connection) bool {
-	if !a.setWhole(c, c.held, c.held) {
+	large := c.held > smallRequest
+	if large && a.large+c.held > a.share(largeShare) {
 		a.abort(c, ReasonMemory)
 		return false
 	}
-	return true
-}
-
-// setWhole changes a request, from which was memory of an unfinished one, to a whole one.
-func (a *Account) setWhole(c *connection, was, n int64) bool {
-	large := n > smallRequest
-	if large && a.large+n > int64(largeShare*float64(a.settings.Bytes)) {
-		return false
-	}
-	a.unfinished -= was
-	c.phase, c.held, c.large = whole, n, large
-	*a.sum(c) += n
+	a.unfinished -= c.held
+	c.phase, c.large = whole, large
+	*a.sum(c) += c.held
 	a.grant()
 	return true
 }
@@ -311,7 +303,7 @@
 	c.held, c.large = 0, n > smallRequest
 	most := a.settings.Bytes - a.Held()
 	if c.large {
-		most = min(most, int64(largeShare*float64(a.settings.Bytes))-a.large, a.room())
+		most = min(most, a.share(largeShare)-a.large, a.room())
 	}
 	if n > most {
 		a.grant()
@@ -323,6 +315,9 @@
 	return Granted
 }
 
+// share returns a part of the memory for requests.
+func (a *Account) share(part float64) int64 { return int64(part * float64(a.settings.Bytes)) }
+
 // sum returns the sum that a connection's memory is part of.
 func (a *Account) sum(c *connection) *int64 {
 	switch {
--- a/internal/clientlimit/pressure.go
+++ b/internal/clientlimit/pressure.go
@@ -7,8 +7,7 @@
 
 // room returns the memory that unfinished requests may still take.
 func (a *Account) room() int64 {
-	shared := int64(unfinishedShare*float64(a.settings.Bytes)) - a.unfinished - a.large
-	return min(shared, a.settings.Bytes-a.Held())
+	return min(a.share(unfinishedShare)-a.unfinished-a.large, a.settings.Bytes-a.Held())
 }
 
 // excess returns the memory that has to be released for what is held and waited for, beyond what is
--- a/internal/clientlimit/settings.go
+++ b/internal/clientlimit/settings.go
@@ -21,8 +21,8 @@
 }
 
 const (
-	// requestShare is the part of a process's memory that may hold requests. Collected only once
-	// it has grown by a quarter, and decoded, they take up to twice that.
+	// requestShare is the part of a process's memory for requests. They take up to twice that while
+	// they are decoded and until garbage is collected.
 	requestShare = 0.2
 	// connectionShare is the part of the memory for connections, connectionBytes what each takes:
 	// its goroutines and buffers, and unread bytes up to ReceiveBuffer.
