--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -203,11 +204,33 @@
 		hasBody := r.ContentLength != 0
 		c.unread.Store(hasBody)
 		g.with(func(now time.Duration, a *clientlimit.Account) { a.Begin(now, c.id, hasBody) })
-		defer g.with(func(_ time.Duration, a *clientlimit.Account) { a.Answered(c.id) })
+		defer func() {
+			g.with(func(_ time.Duration, a *clientlimit.Account) { a.Answered(c.id) })
+			if c.unread.Load() && !c.aborted() {
+				c.discard(w, r)
+			}
+		}()
 		next.ServeHTTP(&answerWriter{ResponseWriter: w, conn: c}, r)
 	})
 }
 
+const (
+	// discardTime and discardBytes bound what is read of a body after its request was answered. A
+	// connection that is closed with unread bytes is reset, and the client may lose the answer.
+	discardTime  = 500 * time.Millisecond
+	discardBytes = 4 << 20
+)
+
+// discard sends the answer and reads what remains of the body.
+func (c *conn) discard(w http.ResponseWriter, r *http.Request) {
+	if http.NewResponseController(w).Flush() != nil || c.Conn.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return // The connection has ended.
+	}
+	c.guard.with(func(_ time.Duration, a *clientlimit.Account) { a.Closing(c.id) })
+	// Whatever ends the read, the connection is closed next.
+	_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
+}
+
 // answerWriter closes the connection of a request whose body was not read.
 type answerWriter struct {
 	http.ResponseWriter
--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -112,6 +113,35 @@
 	}
 }
 
+// Guards against a client that loses the answer to a body that is too large, because its connection
+// is reset.
+func TestClientOfTooLargeBodyGetsItsAnswer(t *testing.T) {
+	const limit = 1 << 20
+	address := serveGuarded(t, clientlimit.DefaultSettings(1<<26), limit)
+	client := &http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 10 {
+		resp, err := client.Post("http://"+address, "text/plain", strings.NewReader(strings.Repeat("x", limit+1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+}
+
+// Guards against a request with a body that is announced, not sent and not needed, which keeps its
+// connection for ever.
+func TestMissingBodyEndsTheConnection(t *testing.T) {
+	e := dial(t, serveGuarded(t, clientlimit.DefaultSettings(1<<26), 1<<20))
+	e.send("GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
+	e.answer()
+	if _, err := e.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("error %v, want the end of the connection", err)
+	}
+}
+
 // Guards against unfinished bodies that are neither refused nor timed out.
 func TestUnfinishedBodyIsRefusedInTime(t *testing.T) {
 	s := clientlimit.DefaultSettings(1 << 26)
--- a/internal/e2e/interface_test.go
+++ b/internal/e2e/interface_test.go
@@ -46,7 +46,7 @@
 			a := submit(url, c.key, c.body)
 			p := a.problem()
 			if a.status != c.status || strings.TrimPrefix(p.Type, owner.ProblemTypePrefix) != c.problem || p.State != c.state || p.NotRun != c.notRun {
-				t.Errorf("status %d, body %s", a.status, a.body)
+				t.Errorf("status %d, body %s, error %v", a.status, a.body, a.err)
 			}
 			checkForm(t, a)
 		})
@@ -99,11 +99,11 @@
 	a := submit(url, "over", jobBody(1, 10*time.Millisecond, 300*time.Millisecond))
 	p := a.problem()
 	if a.status != 503 || p.Type != owner.ProblemTypePrefix+"overload" || !p.NotRun || p.RetryAfterMS == 0 {
-		t.Errorf("status %d, body %s", a.status, a.body)
+		t.Errorf("status %d, body %s, error %v", a.status, a.body, a.err)
 	}
 	checkForm(t, a)
 	if a := <-full; a.status != 200 {
-		t.Errorf("status %d, body %s", a.status, a.body)
+		t.Errorf("status %d, body %s, error %v", a.status, a.body, a.err)
 	}
 }
 
@@ -169,7 +169,7 @@
 			a := submit(url, c.key, c.body)
 			p := a.problem()
 			if a.status != 400 || p.Type != owner.ProblemTypePrefix+"bad-request" || p.State != owner.StateRefused || !p.NotRun {
-				t.Errorf("status %d, body %s", a.status, a.body)
+				t.Errorf("status %d, body %s, error %v", a.status, a.body, a.err)
 			}
 			if !strings.Contains(p.Detail, c.detail) {
 				t.Errorf("detail %q does not name %q", p.Detail, c.detail)
