--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -94,13 +94,13 @@
 	if b.conn == nil {
 		return nil
 	}
-	// Whatever happens to the request, the connection may be used again.
-	b.conn.unread.Store(false)
 	verdict := clientlimit.Refused
 	b.conn.guard.with(func(_ time.Duration, a *clientlimit.Account) { verdict = a.Finish(b.conn.id) })
 	if verdict == clientlimit.Refused {
+		// The abort has ended the server's reads, so the connection cannot be used again.
 		return fault.ClientLimit.New("no memory for a request of %d bytes", b.length)
 	}
+	b.conn.unread.Store(false)
 	return nil
 }
 
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -15,7 +15,7 @@
 	"github.com/damasklb/damasklb/internal/fault"
 )
 
-// sweepInterval is the time between two looks for connections that are over their time. It is well
+// sweepInterval is the time between two checks for connections that are over their time. It is well
 // below the shortest of these times.
 const sweepInterval = 250 * time.Millisecond
 
@@ -65,15 +65,26 @@
 	requestBytes.Add(float64(g.account.Held() - held))
 	clientConnections.Add(float64(g.account.Connections() - open))
 	for _, effect := range g.account.TakeEffects() {
-		switch e := effect.(type) {
-		case clientlimit.Close:
-			g.log.refused(e.Reason, "close", g.connections[e.ID])
-			g.connections[e.ID].closeNow()
-		case clientlimit.Abort:
-			g.log.refused(e.Reason, "abort", g.connections[e.ID])
-			g.connections[e.ID].abort()
-		case clientlimit.Grant:
-			g.connections[e.ID].signal()
+		g.carryOut(effect)
+	}
+}
+
+// carryOut carries out an effect. Nothing in it waits.
+func (g *Guard) carryOut(effect clientlimit.Effect) {
+	switch e := effect.(type) {
+	case clientlimit.Close:
+		if c := g.connections[e.ID]; c != nil {
+			g.log.refused(e.Reason, "close", c)
+			c.closeNow()
+		}
+	case clientlimit.Abort:
+		if c := g.connections[e.ID]; c != nil {
+			g.log.refused(e.Reason, "abort", c)
+			c.abort()
+		}
+	case clientlimit.Grant:
+		if c := g.connections[e.ID]; c != nil {
+			c.signal()
 		}
 	}
 }
--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// Guards against a connection that is used again after an abort has ended the server's reads: each
+// later request would pass for one whose caller has left.
+func TestRefusedRequestClosesItsConnection(t *testing.T) {
+	s := clientlimit.DefaultSettings(1 << 26)
+	s.Bytes = clientlimit.MinBytes
+	e := dial(t, serveGuarded(t, s, 1<<20))
+	const large = 500_000
+	e.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", large, strings.Repeat("x", large))
+	if resp, _ := e.answer(); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+	}
+}
+
 // Guards against a request with a body that is announced, not sent and not needed, which keeps its
 // connection for ever.
 func TestMissingBodyEndsTheConnection(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,9 +51,8 @@
 	// DrainDelay is how long a draining entry still accepts requests, so that
 	// load balancers notice that it is no longer ready.
 	DrainDelay time.Duration
-	// Memory is the memory of the process in bytes, from which the limits of its clients follow;
-	// 0 stands for clientlimit.DefaultMemory. Descriptors is the number of its descriptors; 0 if
-	// not known.
+	// Memory (in bytes; 0 is clientlimit.DefaultMemory) and Descriptors (0 if not known) are those of
+	// the process. The limits of its clients follow from them.
 	Memory      int64
 	Descriptors int
 	Log         *slog.Logger
