--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -92,7 +92,7 @@
 
 // abort ends a read of the body and a wait for memory.
 func (c *conn) abort() {
-	// A connection without a deadline is closed by its client or the next sweep.
+	// It fails only if the connection is closed already.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	c.signal()
 }
@@ -104,7 +104,7 @@
 	}
 }
 
-// hasUnread reports whether bytes or the end of the connection have arrived that were not read.
+// hasUnread reports whether bytes have arrived that were not read.
 func (c *conn) hasUnread() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
--- a/internal/clientlimit/account.go
+++ b/internal/clientlimit/account.go
@@ -111,8 +111,10 @@
 	// unfinished is what requests that have not arrived whole hold, large and small what whole ones
 	// hold, and leaving the part of unfinished that is about to be released.
 	unfinished, large, small, leaving int64
-	// waiting are the requests that wait for memory, the first one longest.
+	// waiting are the requests that wait for memory, the first one longest, and wanted is what
+	// they wait for.
 	waiting []*connection
+	wanted  int64
 	lastID  ID
 	effects []Effect
 }
@@ -246,6 +248,7 @@
 		return Granted
 	}
 	c.wants = n
+	a.wanted += n
 	a.waiting = append(a.waiting, c)
 	a.makeRoom(now)
 	if c.aborted {
--- a/internal/clientlimit/account_test.go
+++ b/internal/clientlimit/account_test.go
@@ -132,10 +132,11 @@
 // check fails unless the sums are those of the connections and within the bounds.
 func (m *model) check() {
 	a := m.account
-	var held, unfinished, leaving int64
+	var held, unfinished, leaving, wanted int64
 	open := 0
 	for _, c := range a.connections {
 		held += c.held
+		wanted += c.wants
 		if c.phase < whole {
 			unfinished += c.held
 		}
@@ -146,8 +147,8 @@
 			open++
 		}
 	}
-	if held != a.Held() || unfinished != a.unfinished || leaving != a.leaving {
-		m.t.Fatalf("sums %d, %d, %d, connections have %d, %d, %d", a.Held(), a.unfinished, a.leaving, held, unfinished, leaving)
+	if held != a.Held() || unfinished != a.unfinished || leaving != a.leaving || wanted != a.wanted {
+		m.t.Fatalf("sums %d, %d, %d, %d, connections have %d, %d, %d, %d", a.Held(), a.unfinished, a.leaving, a.wanted, held, unfinished, leaving, wanted)
 	}
 	if held-leaving > a.settings.Bytes || !m.heads && held > a.settings.Bytes {
 		m.t.Fatalf("%d bytes are held, %d of them for long, bound %d", held, held-leaving, a.settings.Bytes)
--- a/internal/clientlimit/pressure.go
+++ b/internal/clientlimit/pressure.go
@@ -13,11 +13,7 @@
 // excess returns the memory that has to be released for what is held and waited for, beyond what is
 // about to be released.
 func (a *Account) excess() int64 {
-	n := -a.room() - a.leaving
-	for _, c := range a.waiting {
-		n += c.wants
-	}
-	return n
+	return a.wanted - a.room() - a.leaving
 }
 
 // makeRoom aborts unfinished requests until enough memory will be released.
@@ -80,6 +76,7 @@
 	if c.wants == 0 {
 		return
 	}
+	a.wanted -= c.wants
 	c.wants = 0
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *connection) bool { return o == c })
 }
@@ -90,6 +87,7 @@
 		c := a.waiting[0]
 		a.waiting = a.waiting[1:]
 		a.grow(c, c.wants)
+		a.wanted -= c.wants
 		c.wants = 0
 		a.effects = append(a.effects, Grant{ID: c.id})
 	}
