--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -11,9 +11,12 @@
 	"github.com/damasklb/damasklb/internal/fault"
 )
 
-// writeTimeout bounds the writing of an answer to a client that does not read. Answers are short
-// and fit into the buffers of the connection.
-const writeTimeout = 10 * time.Second
+const (
+	// writeTimeout is the longest time for which a client may leave an answer unread, and writeBytes
+	// what it has to read of it within that time.
+	writeTimeout = 10 * time.Second
+	writeBytes   = 32 << 10
+)
 
 // headTooLarge answers a request whose head is above the limit.
 const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -58,11 +61,16 @@
 const readAhead = 4 << 10
 
 // Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+func (c *conn) Write(p []byte) (written int, err error) {
+	for {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(written+writeBytes, len(p))])
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(p)
 }
 
 // CloseWrite is called by the HTTP server after the last answer, before it waits for the client to
--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -166,6 +167,35 @@
 	}
 }
 
+// slowConn takes each write in whole and records their sizes and the number of deadlines.
+type slowConn struct {
+	net.Conn
+	writes    []int
+	deadlines int
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	c.writes = append(c.writes, len(p))
+	return len(p), nil
+}
+
+func (c *slowConn) SetWriteDeadline(time.Time) error {
+	c.deadlines++
+	return nil
+}
+
+// Guards against a large answer that is cut although its client reads it, slowly.
+func TestDeadlineOfALargeAnswerIsRenewed(t *testing.T) {
+	raw := &slowConn{}
+	c := &conn{Conn: raw}
+	if n, err := c.Write(make([]byte, 3*writeBytes+1)); n != 3*writeBytes+1 || err != nil {
+		t.Errorf("%d bytes written (%v)", n, err)
+	}
+	if len(raw.writes) != 4 || raw.deadlines != 4 || slices.Max(raw.writes) > writeBytes {
+		t.Errorf("writes %v, %d deadlines", raw.writes, raw.deadlines)
+	}
+}
+
 // Guards against heads of any size and heads that never end.
 func TestHeadsAreLimited(t *testing.T) {
 	s := clientlimit.DefaultSettings(1 << 26)
