--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -162,6 +162,17 @@
 // RetryAfter returns the time after which a client may come back that was refused for a limit.
 func RetryAfter() time.Duration { return clientlimit.RetryAfter(rand.Float64()) }
 
+// Detach keeps the memory of a request until release is called, also when it has been answered.
+func Detach(ctx context.Context) (release func()) {
+	c := connOf(ctx)
+	if c == nil {
+		return func() {}
+	}
+	var d clientlimit.Detached
+	c.guard.with(func(_ time.Duration, a *clientlimit.Account) { d = a.Detach(c.id) })
+	return func() { c.guard.with(func(_ time.Duration, a *clientlimit.Account) { a.Release(d) }) }
+}
+
 // Hold asks for the memory that a request takes until it is answered. It returns false if the
 // request has to be refused.
 func Hold(ctx context.Context, bytes int64) bool {
--- a/internal/clientlimit/account.go
+++ b/internal/clientlimit/account.go
@@ -318,6 +318,33 @@
 	return Granted
 }
 
+// Detached is memory that a request holds beyond its answer.
+type Detached struct {
+	bytes int64
+	large bool
+}
+
+// Detach keeps what a whole request holds until Release, whatever becomes of its connection.
+func (a *Account) Detach(id ID) Detached {
+	c := a.connections[id]
+	if c == nil || c.phase != whole {
+		return Detached{}
+	}
+	d := Detached{bytes: c.held, large: c.large}
+	c.held = 0
+	return d
+}
+
+// Release releases detached memory.
+func (a *Account) Release(d Detached) {
+	if d.large {
+		a.large -= d.bytes
+	} else {
+		a.small -= d.bytes
+	}
+	a.grant()
+}
+
 // share returns a part of the memory for requests.
 func (a *Account) share(part float64) int64 { return int64(part * float64(a.settings.Bytes)) }
 
--- a/internal/clientlimit/account_test.go
+++ b/internal/clientlimit/account_test.go
@@ -28,7 +28,9 @@
 	waits, aborted map[ID]bool
 	// closed are the connections that the account has closed.
 	closed map[ID]bool
-	heads  bool
+	// detached is the memory that outlives its requests.
+	detached []Detached
+	heads    bool
 }
 
 func (m *model) drain() {
@@ -119,9 +121,16 @@
 			m.phases[id] = whole
 		}
 	case whole:
-		if m.rng.Intn(2) == 0 {
+		switch m.rng.Intn(4) {
+		case 0, 1:
 			m.account.Hold(id, int64(m.rng.Intn(200_000)))
 			return
+		case 2:
+			m.detached = append(m.detached, m.account.Detach(id))
+		}
+		if n := len(m.detached); n > 0 && m.rng.Intn(2) == 0 {
+			m.account.Release(m.detached[n-1])
+			m.detached = m.detached[:n-1]
 		}
 		m.account.Answered(id)
 		m.phases[id] = idle
@@ -147,6 +156,9 @@
 			open++
 		}
 	}
+	for _, d := range m.detached {
+		held += d.bytes
+	}
 	if held != a.Held() || unfinished != a.unfinished || leaving != a.leaving || wanted != a.wanted {
 		m.t.Fatalf("sums %d, %d, %d, %d, connections have %d, %d, %d, %d", a.Held(), a.unfinished, a.leaving, a.wanted, held, unfinished, leaving, wanted)
 	}
@@ -180,6 +192,12 @@
 			m.drain()
 			m.check()
 		}
+		for len(m.detached) > 0 {
+			m.account.Release(m.detached[0])
+			m.detached = m.detached[1:]
+			m.drain()
+			m.check()
+		}
 		if a := m.account; a.Held() != 0 || a.Connections() != 0 || len(a.waiting) != 0 {
 			t.Fatalf("seed %d: %d bytes, %d connections and %d waiting requests are left", seed, a.Held(), a.Connections(), len(a.waiting))
 		}
@@ -256,6 +274,26 @@
 	}
 }
 
+// Guards against jobs whose memory is free for others once their clients have an early answer.
+func TestDetachedMemoryOutlivesItsConnection(t *testing.T) {
+	a := New(testSettings(MinBytes), 1000)
+	id := begin(t, a, 0, 4096)
+	a.Finish(id)
+	a.Hold(id, 300<<10)
+	d := a.Detach(id)
+	a.Answered(id)
+	a.Closed(id)
+	other := begin(t, a, 0, 4096)
+	a.Finish(other)
+	if a.Held() < 300<<10 || a.Hold(other, 300<<10) != Refused {
+		t.Errorf("%d bytes are held after the connection has closed", a.Held())
+	}
+	a.Release(d)
+	if a.Hold(other, 300<<10) != Granted {
+		t.Error("memory is held after its release")
+	}
+}
+
 // Guards against a request that is kept because it sends a byte now and then.
 func TestRequestWithoutProgressGivesWayFirst(t *testing.T) {
 	a := New(testSettings(MinBytes), 1000)
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -9,6 +9,7 @@
 	"github.com/damasklb/damasklb/internal/clientlimit"
 	"github.com/damasklb/damasklb/internal/fault"
 	"github.com/damasklb/damasklb/internal/owner"
+	"github.com/damasklb/damasklb/internal/wire"
 )
 
 // maxHandshakeBytes is the size of a TLS handshake with a chain of certificates, which arrives before
@@ -46,6 +47,18 @@
 	return copies * n
 }
 
+// releaseAtEnd keeps the memory of an asynchronous job until it has ended.
+func (e *Entry) releaseAtEnd(r *http.Request, reply <-chan *wire.Answer) {
+	release := callerconn.Detach(r.Context())
+	go func() {
+		select {
+		case <-reply:
+		case <-e.stopped:
+		}
+		release()
+	}()
+}
+
 // hold asks for the memory of a job.
 func hold(r *http.Request, s submission) error {
 	if !callerconn.Hold(r.Context(), s.footprint()) {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -136,7 +136,7 @@
 	}
 	reply := e.submit(s, time.Duration(s.deadlineMS)*time.Millisecond)
 	if prefersAsync(r) {
-		e.answerAsync(w, s, reply)
+		e.answerAsync(w, r, s, reply)
 		return
 	}
 	select {
@@ -190,11 +190,12 @@
 
 // answerAsync answers 202 Accepted, or sends the answer, such as an early refusal,
 // if it comes within asyncWait.
-func (e *Entry) answerAsync(w http.ResponseWriter, s submission, reply chan *wire.Answer) {
+func (e *Entry) answerAsync(w http.ResponseWriter, r *http.Request, s submission, reply chan *wire.Answer) {
 	select {
 	case a := <-reply:
 		writeAnswer(w, a)
 	case <-time.After(asyncWait):
+		e.releaseAtEnd(r, reply)
 		w.Header().Set("Location", "/v1/jobs/"+s.Job.String())
 		w.Header().Set("Preference-Applied", "respond-async")
 		w.Header().Set("Content-Type", jsonContentType)
