--- a/internal/broker/jobs.go
+++ b/internal/broker/jobs.go
@@ -231,6 +231,8 @@
 	}
 	j.closing = true
 	j.outcome = o
+	// No task of it is assigned any more.
+	j.sub.Spec = ""
 	for _, t := range j.tasks {
 		b.releaseTask(t)
 		if t.agent != nil {
