--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -57,6 +57,18 @@
 	})
 }
 
+// Guards against processes that exceed their memory by the answers that they retain for copies of the
+// requests.
+func TestClientsWithLargeAnswersStayWithinMemory(t *testing.T) {
+	payload := `{"payload":{"pad":"` + strings.Repeat("x", 250_000) + `"}}`
+	body := `{"class":"echo","deadline_ms":10000,"tasks":[` + strings.Repeat(payload+",", 3) + payload + `]}`
+	withstand(t, 3, func(c net.Conn, round, i int) {
+		for n := range 60 {
+			submit("http://"+c.RemoteAddr().String(), fmt.Sprintf("echo-%d-%d-%d", round, i, n), body)
+		}
+	})
+}
+
 // Guards against an entry that exceeds its memory because of clients that send large bodies up to
 // just before their end.
 func TestClientsWithUnfinishedJobsStayWithinMemory(t *testing.T) {
