Review: a waiting task starts on an upstream of another kind

Cause: an agent keeps its waiting tasks when its upstream comes back as a new incarnation after a crash without a sign, and does not know the label that a task requires. Change: case 11 with a script, and the stand-ins that it starts.

--- /dev/null
+++ b/review/harness3/caller.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	callerHost  = "jobs.example"
+	casePrefix  = "/q/"
+	probePrefix = "/p/"
+)
+
+// job is a job with one step that need not be stored.
+type job struct {
+	id         string
+	count      int
+	estimateMS int
+	task       taskSpec
+}
+
+func newJob(count, estimateMS int, task taskSpec) job {
+	return job{id: fmt.Sprintf("%016x", rand.Uint64()), count: count, estimateMS: estimateMS, task: task}
+}
+
+func (j job) body() []byte {
+	step := map[string]any{"count": j.count, "cpu": j.task.CPU, "mem_mb": j.task.MemMB, "estimate_ms": j.estimateMS}
+	if j.task.Requires != "" {
+		step["requirements"] = j.task.Requires
+	}
+	data, _ := json.Marshal(map[string]any{"spec": j.task.text(), "steps": []any{step}, "best_effort": true})
+	return data
+}
+
+// submit hands a job of the case in once and returns the status, or 0 without an answer.
+func (d *deployment) submit(entry int, j job, deadline time.Duration) int {
+	return d.submitTo(casePrefix, entry, j, deadline)
+}
+
+func (d *deployment) submitTo(prefix string, entry int, j job, deadline time.Duration) int {
+	address := d.entries[entry].ip + frontPort
+	d.rec.note("job %s is sent to %s: %d tasks of %d thousandths of a core, requires %q", j.id, d.entries[entry].name, j.count, j.task.CPU, j.task.Requires)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+prefix+j.id, bytes.NewReader(j.body()))
+	if err != nil {
+		return 0
+	}
+	req.Host = callerHost
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	client := &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		d.rec.note("job %s gets no answer: %v", j.id, err)
+		return 0
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	d.rec.note("job %s is answered with %d %s", j.id, resp.StatusCode, bytes.TrimSpace(text))
+	return resp.StatusCode
+}
