Review: one heartbeat of another writer takes an upstream out of service for good

Cause: an agent does not check the zone, version and slots of a heartbeat, and takes one with another id and a later start time for the next incarnation of its upstream, whose own heartbeats are ignored as old from then on. The next process of the agent restores it from the store.

--- a/review/harness3/cases.go
+++ b/review/harness3/cases.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -84,3 +88,74 @@
 	stop()
 	return nil
 }
+
+// strayHeartbeat: on each side machine a heartbeat of another writer arrives once, which lacks the
+// zone, the version and the slots. Then comes the final fault: all processes are killed.
+func strayHeartbeat(d *deployment, trouble bool) error {
+	const (
+		down     = 1600 * time.Millisecond
+		recovery = 12 * time.Second
+	)
+	before := d.load("before the fault", 3*time.Second)
+	if trouble {
+		for _, w := range d.workers {
+			d.stray(w)
+		}
+	}
+	d.load("after the heartbeats of another writer", 6*time.Second)
+	for _, p := range append(append([]*process{}, d.entries...), d.agents...) {
+		d.kill(p)
+	}
+	d.rec.note("all processes are killed")
+	time.Sleep(down)
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	d.rec.note("all machines are back")
+	time.Sleep(recovery)
+	after := d.load("later than recovery_s after the machines are back", 5*time.Second)
+	if before < 0.25 {
+		return errNothingServed
+	}
+	if after < 0.25 {
+		d.rec.violated("RECOVER: %.0f%% of the requests sent later than %v after the machines were back are served, %.0f%% were before the final fault", 100*after, recovery, 100*before)
+	}
+	return nil
+}
+
+// load hands small jobs in for a time and returns the share that is served.
+func (d *deployment) load(when string, long time.Duration) float64 {
+	var wg sync.WaitGroup
+	var sent, served atomic.Int64
+	for i, end := 0, time.Now().Add(long); time.Now().Before(end); i++ {
+		sent.Add(1)
+		wg.Go(func() {
+			j := newJob(4, 100, taskSpec{MS: 100, CPU: 6_000, MemMB: 64})
+			if d.submit(i%entryCount, j, 1500*time.Millisecond) == http.StatusOK {
+				served.Add(1)
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	d.rec.note("%s: %d requests, %d served", when, sent.Load(), served.Load())
+	return float64(served.Load()) / float64(sent.Load())
+}
+
+// stray sends a heartbeat of another writer to the agent beside a worker.
+func (d *deployment) stray(w *worker) {
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":4000,"mem_mb":8192,"gpus":0},`+
+		`"labels":["x"],"clock_ms":1200,"seq":1,"born":%d}`, serviceName, strings.Replace(w.address, appPort, ":9000", 1), time.Now().UnixMilli())
+	req, err := http.NewRequest(http.MethodPut, "http://"+w.control+"/instances/other-"+w.name, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		d.rec.note("%s: the heartbeat of another writer gets no answer: %v", w.name, err)
+		return
+	}
+	_ = resp.Body.Close()
+	d.rec.note("%s: the heartbeat of another writer is answered with %d", w.name, resp.StatusCode)
+}
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -113,15 +113,10 @@
 	for i := range agentCount {
 		d.agents = append(d.agents, &process{name: fmt.Sprintf("side-%d", i+1), ip: d.ip(30 + i)})
 	}
-	for _, p := range d.entries {
-		if err := d.startProcess(p, "entry"); err != nil {
-			return err
-		}
+	if err := d.startAll(); err != nil {
+		return err
 	}
 	for i, p := range d.agents {
-		if err := d.startProcess(p, "agent"); err != nil {
-			return err
-		}
 		k := kindA
 		if i == agentCount-1 {
 			k = kindB
@@ -135,6 +130,28 @@
 	return d.awaitService()
 }
 
+// startAll starts all processes of the project.
+func (d *deployment) startAll() error {
+	for _, p := range d.entries {
+		if err := d.startProcess(p, "entry"); err != nil {
+			return err
+		}
+	}
+	for _, p := range d.agents {
+		if err := d.startProcess(p, "agent"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// kill ends a process with SIGKILL and waits for its end.
+func (d *deployment) kill(p *process) {
+	// It fails for a process that has ended.
+	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.ended
+}
+
 // settings writes the settings file of a process and returns its path.
 func (d *deployment) settings(p *process, role string) (string, error) {
 	var seeds []string
@@ -164,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.dir, p.name+".log"))
+	log, err := os.OpenFile(filepath.Join(d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -219,9 +236,7 @@
 		if p.cmd == nil {
 			continue
 		}
-		// It fails for a process that has ended.
-		_ = p.cmd.Process.Signal(syscall.SIGKILL)
-		wg.Go(func() { <-p.ended })
+		wg.Go(func() { d.kill(p) })
 	}
 	wg.Wait()
 	if keep := os.Getenv("REVIEW_LOGS"); keep != "" {
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -23,8 +23,9 @@
 type scenario func(d *deployment, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"other-kind":     otherKind,
-	"behind-the-cut": behindTheCut,
+	"other-kind":      otherKind,
+	"behind-the-cut":  behindTheCut,
+	"stray-heartbeat": strayHeartbeat,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
