Review: entries of another writer take upstreams out of service after a restart

Cause: an agent restores its row of the list of upstreams without a capacity and labels, and ignores the heartbeats of its upstream, which has the earlier start time, from then on.

--- a/review/harness3/cases.go
+++ b/review/harness3/cases.go
@@ -90,19 +90,39 @@
 }
 
 // strayHeartbeat: on each side machine a heartbeat of another writer arrives once, which lacks the
-// zone, the version and the slots. Then comes the final fault: all processes are killed.
+// zone, the version and the slots. Then comes the final fault.
 func strayHeartbeat(d *deployment, trouble bool) error {
+	return d.finalFault(trouble, "the heartbeats of another writer", func() {
+		for _, w := range d.workers {
+			d.stray(w)
+		}
+	})
+}
+
+// strayEntry: another writer puts an entry for each worker into the list of workers, which lacks the
+// capacity and the labels. Then comes the final fault.
+func strayEntry(d *deployment, trouble bool) error {
+	return d.finalFault(trouble, "the entries of another writer", func() {
+		for _, w := range d.workers {
+			entry := fmt.Sprintf(`{"id":"other-%s","born":%d,"service":%q}`, w.name, time.Now().UnixMilli(), serviceName)
+			d.store.put("upstreams", w.name, []byte(entry))
+			d.rec.note("%s: another writer puts the entry %s", w.name, entry)
+		}
+	})
+}
+
+// finalFault lets the disruption happen, kills all processes some seconds later, starts them again
+// and checks RECOVER.
+func (d *deployment) finalFault(trouble bool, what string, disrupt func()) error {
 	const (
 		down     = 1600 * time.Millisecond
 		recovery = 12 * time.Second
 	)
-	before := d.load("before the fault", 3*time.Second)
+	before := d.load("before", 3*time.Second)
 	if trouble {
-		for _, w := range d.workers {
-			d.stray(w)
-		}
+		disrupt()
 	}
-	d.load("after the heartbeats of another writer", 6*time.Second)
+	d.load("after "+what, 6*time.Second)
 	for _, p := range append(append([]*process{}, d.entries...), d.agents...) {
 		d.kill(p)
 	}
@@ -118,7 +138,7 @@
 		return errNothingServed
 	}
 	if after < 0.25 {
-		d.rec.violated("RECOVER: %.0f%% of the requests sent later than %v after the machines were back are served, %.0f%% were before the final fault", 100*after, recovery, 100*before)
+		d.rec.violated("RECOVER: %.0f%% of the requests sent later than %v after the machines were back are served, %.0f%% were before", 100*after, recovery, 100*before)
 	}
 	return nil
 }
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -26,6 +26,7 @@
 	"other-kind":      otherKind,
 	"behind-the-cut":  behindTheCut,
 	"stray-heartbeat": strayHeartbeat,
+	"stray-entry":     strayEntry,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
