Review: wait for all workers before a case, and widen the margins of two cases

Change: the deployment waits for an acknowledged heartbeat of each worker; the jobs of the two cases have fewer and longer tasks.

--- a/review/harness3/cases.go
+++ b/review/harness3/cases.go
@@ -40,11 +40,11 @@
 	var wg sync.WaitGroup
 	// The first job fills the worker, the second waits for the end of its tasks.
 	wg.Go(func() {
-		d.submit(0, newJob(2, 500, taskSpec{MS: 500, CPU: 45_000, MemMB: 64, Requires: kindB.name}), 6*time.Second)
+		d.submit(0, newJob(2, 900, taskSpec{MS: 900, CPU: 45_000, MemMB: 64, Requires: kindB.name}), 6*time.Second)
 	})
 	time.Sleep(60 * time.Millisecond)
 	wg.Go(func() {
-		d.submit(1, newJob(1, 4000, taskSpec{MS: 2000, CPU: 45_000, MemMB: 64, Requires: kindB.name}), 6*time.Second)
+		d.submit(1, newJob(1, 8000, taskSpec{MS: 2000, CPU: 45_000, MemMB: 64, Requires: kindB.name}), 6*time.Second)
 	})
 	time.Sleep(100 * time.Millisecond)
 	if trouble {
@@ -83,7 +83,7 @@
 		w.setSilent(false, true)
 	}
 	for range 3 {
-		d.submit(0, newJob(12, 300, taskSpec{MS: 300, CPU: 7_500, MemMB: 64, Requires: w.rack}), 3*time.Second)
+		d.submit(0, newJob(2, 300, taskSpec{MS: 300, CPU: 45_000, MemMB: 64, Requires: w.rack}), 3*time.Second)
 	}
 	stop()
 	return nil
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -201,22 +201,42 @@
 	return nil
 }
 
-// awaitService waits until each entry completes a job that has a task for each worker.
+// awaitService waits until each entry completes a job of each kind of machine in turn, so that
+// all workers are registered and linked.
 func (d *deployment) awaitService() error {
 	for begin := time.Now(); time.Since(begin) < startTimeout; time.Sleep(200 * time.Millisecond) {
 		served := 0
 		for i := range d.entries {
-			if d.submitTo(probePrefix, i, newJob(2*agentCount, 20, taskSpec{MS: 20, CPU: 20_000, MemMB: 64}), 2*time.Second) == http.StatusOK {
+			if d.probe(i, kindA, agentCount-1) && d.probe(i, kindB, 1) {
 				served++
 			}
 		}
-		if served == len(d.entries) {
+		if served == len(d.entries) && d.registered() {
 			return nil
 		}
 	}
 	return errNothingServed
 }
 
+// probe reports whether an entry completes a job that fills a number of machines of a kind.
+func (d *deployment) probe(entry int, k kind, machines int) bool {
+	j := newJob(2*machines, 20, taskSpec{MS: 20, CPU: k.cpu / 3, MemMB: 64, Requires: k.name})
+	return d.submitTo(probePrefix, entry, j, 2*time.Second) == http.StatusOK
+}
+
+// registered reports whether each worker's agent has acknowledged a heartbeat.
+func (d *deployment) registered() bool {
+	for _, w := range d.workers {
+		w.mu.Lock()
+		known := w.acknowledged
+		w.mu.Unlock()
+		if !known {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *deployment) processesEnded() int {
 	n := 0
 	for _, p := range append(append([]*process{}, d.entries...), d.agents...) {
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -69,6 +69,8 @@
 	highest  map[string]uint64
 	ended    [][]any
 	number   int64
+	// acknowledged is set once a heartbeat was acknowledged.
+	acknowledged bool
 }
 
 func newWorker(rec *record, name, address, control, service, rack string, k kind) (*worker, error) {
@@ -188,6 +190,9 @@
 		return
 	}
 	_ = resp.Body.Close()
+	w.mu.Lock()
+	w.acknowledged = w.acknowledged || resp.StatusCode/100 == 2
+	w.mu.Unlock()
 	w.rec.note("%s: heartbeat of incarnation %d is answered with %d", w.name, life, resp.StatusCode)
 }
 
