Review: an entry that wakes behind a cut starts jobs whose callers have left

Cause: a request that has waited at a frozen process is dated by when it was read, so an entry that is cut off meanwhile takes its caller for present if its agents are back soon after. Change: case 11 with a script, and proxies for the ways to the entries.

--- a/review/harness3/caller.go
+++ b/review/harness3/caller.go
@@ -40,11 +40,16 @@
 
 // submit hands a job of the case in once and returns the status, or 0 without an answer.
 func (d *deployment) submit(entry int, j job, deadline time.Duration) int {
-	return d.submitTo(casePrefix, entry, j, deadline)
+	return d.post(casePrefix, entry, j, deadline, deadline)
 }
 
 func (d *deployment) submitTo(prefix string, entry int, j job, deadline time.Duration) int {
-	address := d.entries[entry].ip + frontPort
+	return d.post(prefix, entry, j, deadline, deadline)
+}
+
+// post hands a job in. The caller leaves after patience, which may be shorter than its deadline.
+func (d *deployment) post(prefix string, entry int, j job, patience, deadline time.Duration) int {
+	address := d.fronts[entry].listener.Addr().String()
 	d.rec.note("job %s is sent to %s: %d tasks of %d thousandths of a core, requires %q", j.id, d.entries[entry].name, j.count, j.task.CPU, j.task.Requires)
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+prefix+j.id, bytes.NewReader(j.body()))
 	if err != nil {
@@ -53,7 +58,7 @@
 	req.Host = callerHost
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
-	client := &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		d.rec.note("job %s gets no answer: %v", j.id, err)
@@ -64,3 +69,15 @@
 	d.rec.note("job %s is answered with %d %s", j.id, resp.StatusCode, bytes.TrimSpace(text))
 	return resp.StatusCode
 }
+
+// resendAfter is the time from the end of a connection without an answer to the next try.
+const resendAfter = 1300 * time.Millisecond
+
+// submitTwice hands a job in at one entry, leaves after a time and sends it again at another.
+func (d *deployment) submitTwice(first, second int, j job, patience, deadline time.Duration) {
+	if d.post(casePrefix, first, j, patience, deadline) == http.StatusOK {
+		return
+	}
+	time.Sleep(resendAfter)
+	d.submit(second, j, deadline)
+}
--- a/review/harness3/record.go
+++ b/review/harness3/record.go
@@ -13,6 +13,8 @@
 	file       *os.File
 	begin      time.Time
 	violations []string
+	// rule is the rule that the case checks; other broken rules are only noted.
+	rule string
 }
 
 func newRecord(path string) (*record, error) {
@@ -34,11 +36,15 @@
 	fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.begin).Seconds()}, args...)...)
 }
 
-// violated notes that the rule was broken.
-func (r *record) violated(format string, args ...any) {
+// violated notes that a rule was broken.
+func (r *record) violated(rule, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	text := fmt.Sprintf(format, args...)
+	text := rule + ": " + fmt.Sprintf(format, args...)
+	if rule != r.rule {
+		r.write("besides, %s", text)
+		return
+	}
 	r.violations = append(r.violations, text)
 	r.write("BROKEN: %s", text)
 }
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -32,9 +33,13 @@
 	ver     uint64
 	rows    []storeRow
 	changed chan struct{}
+	// ways holds, by address, that of the proxy in front of it, which the rows of entries get.
+	ways map[string]string
 }
 
-func newStore() *store { return &store{begin: time.Now(), changed: make(chan struct{})} }
+func newStore() *store {
+	return &store{begin: time.Now(), changed: make(chan struct{}), ways: map[string]string{}}
+}
 
 // storeAnswer is an answer with rows, as of version Ver.
 type storeAnswer struct {
@@ -118,6 +123,9 @@
 	}
 	s.ver++
 	for _, p := range tx.Puts {
+		for address, way := range s.ways {
+			p.Value = bytes.ReplaceAll(p.Value, []byte(address), []byte(way))
+		}
 		s.apply(p)
 	}
 	for _, p := range tx.Remove {
