--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -132,7 +132,7 @@
 	if err := d.startAll(); err != nil {
 		return err
 	}
-	live := &liveRuns{on: map[string][]string{}}
+	live := &liveRuns{rec: d.rec, on: map[string][]liveRun{}}
 	for i, p := range d.agents {
 		k := kindA
 		if i == agentCount-1 {
