Review: a cancelled job runs again when its caller sends it again

Cause: the POST of a cancelled job is answered with 504, after which callers send a job again, and an entry takes only completed and failed jobs for ended, so the retry becomes a new job, at the entry that has acknowledged the cancelling as well.

--- a/review/harness3/caller.go
+++ b/review/harness3/caller.go
@@ -81,3 +81,23 @@
 	time.Sleep(resendAfter)
 	d.submit(second, j, deadline)
 }
+
+// cancel cancels a job and returns the status, or 0 without an answer.
+func (d *deployment) cancel(entry int, j job) int {
+	address := d.fronts[entry].listener.Addr().String()
+	d.rec.note("the cancelling of job %s is sent to %s", j.id, d.entries[entry].name)
+	req, err := http.NewRequest(http.MethodDelete, "http://"+address+casePrefix+j.id, nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = callerHost
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		d.rec.note("the cancelling of job %s gets no answer: %v", j.id, err)
+		return 0
+	}
+	defer resp.Body.Close()
+	d.rec.note("the cancelling of job %s is answered with %d", j.id, resp.StatusCode)
+	return resp.StatusCode
+}
--- a/review/harness3/cases.go
+++ b/review/harness3/cases.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,3 +163,70 @@
 	wg.Wait()
 	return nil
 }
+
+// cancelledAgain: of eight jobs at work at an entry, two are cancelled there. Their callers get 504
+// for the jobs and send them again, one to the same entry and one to the other.
+func cancelledAgain(d *deployment, trouble bool) error {
+	const (
+		jobs, cancelled = 8, 2
+		untilCancel     = 500 * time.Millisecond
+		cancelTime      = 3 * time.Second
+		// margin is for timers that are late.
+		margin = 500 * time.Millisecond
+	)
+	errNotCancelled := errors.New("a job was not cancelled with 200 while it ran, and its caller told 504")
+	task := taskSpec{MS: 6000, CPU: 6_000, MemMB: 64}
+	var wg sync.WaitGroup
+	wrong := make(chan error, cancelled)
+	for i := range jobs {
+		j := newJob(4, task.MS, task)
+		status := make(chan int, 1)
+		wg.Go(func() { status <- d.submit(0, j, 15*time.Second) })
+		if i >= cancelled {
+			continue
+		}
+		wg.Go(func() {
+			time.Sleep(untilCancel)
+			if d.running(j.id) == 0 || d.cancel(0, j) != http.StatusOK {
+				wrong <- errNotCancelled
+				return
+			}
+			acknowledged := time.Now()
+			if <-status != http.StatusGatewayTimeout {
+				wrong <- errNotCancelled
+				return
+			}
+			if trouble {
+				wg.Go(func() {
+					time.Sleep(resendAfter)
+					d.submit(i, j, 15*time.Second)
+				})
+			}
+			time.Sleep(time.Until(acknowledged.Add(cancelTime + stopGrace + margin)))
+			if n := d.running(j.id); n > 0 {
+				d.rec.violated("UNASKED", "%d tasks of job %s are at work %v after its cancelling was acknowledged", n, j.id, time.Since(acknowledged).Round(time.Millisecond))
+			}
+		})
+	}
+	wg.Wait()
+	select {
+	case err := <-wrong:
+		return err
+	default:
+		return nil
+	}
+}
+
+// running returns the number of runs of a job's tasks.
+func (d *deployment) running(job string) int {
+	live := d.workers[0].live
+	live.mu.Lock()
+	defer live.mu.Unlock()
+	n := 0
+	for task, runs := range live.on {
+		if strings.HasPrefix(task, job+".") {
+			n += len(runs)
+		}
+	}
+	return n
+}
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -29,6 +29,7 @@
 	"stray-entry":      {"RECOVER", strayEntry},
 	"behind-the-cut":   {"LIMIT", behindTheCut},
 	"cut-after-freeze": {"TWICE", cutAfterFreeze},
+	"cancelled-again":  {"UNASKED", cancelledAgain},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
